--- /dev/null
+++ b/dragonflywing/__init__.py
@@ -0,0 +1,1 @@
+"""A database proxy with session consistency for replicated databases."""
--- /dev/null
+++ b/dragonflywing/backend.py
@@ -0,0 +1,370 @@
+"""The connections of this instance to one database."""
+
+import asyncio
+import itertools
+
+import asyncmy
+from asyncmy import errors as driver_errors
+
+from dragonflywing import errors, logs
+from dragonflywing.decisions import admission, routing
+from dragonflywing.decisions.positions import Position, Status
+from dragonflywing.errors import DatabaseError, DfwError, Verdict
+from dragonflywing.wire import Column, Result
+
+# Numbers from which the driver, not the database, has raised an error.
+DRIVER_ERRNO_MIN = 2000
+DRIVER_ERRNO_MAX = 2999
+GONE_AWAY_ERRNO = 2006
+READ_ONLY_ERRNO = 1290
+TOO_MANY_CONNECTIONS_ERRNO = 1040
+ROLE_CHANGED_ERRNO = 1180
+SQLSTATES = {
+    1022: "23000",
+    1040: "08004",
+    1046: "3D000",
+    1048: "23000",
+    1050: "42S01",
+    1054: "42S22",
+    1062: "23000",
+    1064: "42000",
+    1146: "42S02",
+    1213: "40001",
+    1451: "23000",
+    1452: "23000",
+}
+EXPIRY_INTERVAL_S = 0.05
+# Name under which control statements queue when there is one connection only.
+CONTROL_QUEUE = ""
+
+
+class BackendConnection:
+    """One connection, the schema it has selected and what it answered last."""
+
+    def __init__(self, raw):
+        self.raw = raw
+        self.schema = None
+        self.in_transaction = False
+        self.lock = asyncio.Lock()
+        self.broken = False
+
+    async def query(self, sql):
+        """Run a statement and return its Result; a failed query may break it."""
+        async with self.lock:
+            try:
+                await self.raw.query(sql)
+            except driver_errors.MySQLError as exc:
+                if not isinstance(translate(exc, sent=True), DatabaseError):
+                    self.close()
+                raise
+            except BaseException:
+                self.close()
+                raise
+            answer = self.raw._result
+        if answer.description is None:
+            info = answer.message or b""
+            return Result(
+                affected_rows=answer.affected_rows,
+                last_insert_id=answer.insert_id,
+                info=info,
+            )
+        columns = tuple(Column(item[0], item[1]) for item in answer.description)
+        return Result(columns, answer.rows)
+
+    async def select_schema(self, schema):
+        """Make `schema` the default of the connection."""
+        if schema != self.schema:
+            await self.raw.select_db(schema)
+            self.schema = schema
+
+    def close(self):
+        """Close the socket at once."""
+        self.broken = True
+        self.raw.close()
+
+
+def parse_status(name, result):
+    """Return the Status in the answer to a control statement."""
+    row = [int(value) for value in result.rows[0]]
+    return Status(
+        database=name,
+        primary=bool(row[0]),
+        term=row[1],
+        received=Position(row[2], row[3]),
+        applied=Position(row[4], row[5]),
+        leaving=bool(row[6]),
+        busy=row[7],
+    )
+
+
+def parse_position(info):
+    """Return the position that a commit's answer carries, or None."""
+    kind, _, text = info.decode("ascii", "replace").partition(" ")
+    if kind != "dfw":
+        return None
+    term, index = text.split(".")
+    return Position(int(term), int(index))
+
+
+def translate(exc, sent):
+    """Return the DfwError for what the driver raised."""
+    if isinstance(exc, driver_errors.MySQLError) and exc.args:
+        errno = exc.args[0] if isinstance(exc.args[0], int) else 0
+        message = str(exc.args[1]) if len(exc.args) > 1 else str(exc)
+        if errno in (READ_ONLY_ERRNO, ROLE_CHANGED_ERRNO):
+            return DfwError(errors.NO_PRIMARY, message)
+        if errno == TOO_MANY_CONNECTIONS_ERRNO:
+            return DfwError(errors.NO_DATABASE, message)
+        if errno == GONE_AWAY_ERRNO:
+            # The driver found the connection closed before it sent anything.
+            return DfwError(errors.CONNECTION_LOST, message)
+        if errno and not DRIVER_ERRNO_MIN <= errno <= DRIVER_ERRNO_MAX:
+            return DatabaseError(errno, SQLSTATES.get(errno, "HY000"), message)
+    verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
+    code = errors.CONNECTION_LOST if sent else errors.NO_DATABASE
+    return DfwError(code, f"{type(exc).__name__}: {exc}", verdict)
+
+
+class Backend:
+    """Admission, connections, status and latency of one database."""
+
+    def __init__(self, name, spec, budget, cfg, metrics):
+        self.name = name
+        self.spec = spec
+        self.cfg = cfg
+        self.metrics = metrics
+        self.shared_control = budget < 2
+        self.admission = admission.AdmissionState(max(1, budget - 1))
+        self.status = None
+        self.status_at = float("-inf")
+        self.latency_s = None
+        self.outstanding = 0
+        self.leaving = spec.leaving
+        self._idle = []
+        self._open_conns = set()
+        self._waiters = {}
+        self._ids = itertools.count(1)
+        self._control = None
+        self._control_lock = asyncio.Lock()
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+    def candidate(self):
+        """Return what routing needs to know of this database."""
+        latency = (
+            routing.DEFAULT_LATENCY_S if self.latency_s is None else self.latency_s
+        )
+        return routing.Candidate(
+            name=self.name,
+            position=self.status.applied if self.status else Position(0, 0),
+            leaving=self.leaving or (self.status is not None and self.status.leaving),
+            reachable=self.status is not None,
+            outstanding=self.outstanding,
+            latency_s=latency,
+        )
+
+    def is_leaving(self):
+        """Return whether no new work may be sent here."""
+        return self.leaving or (self.status is not None and self.status.leaving)
+
+    def note_status(self, status):
+        """Keep a status; an older one of the same run changes nothing."""
+        known = self.status
+        if known and (known.term, known.applied) > (status.term, status.applied):
+            return
+        self.status = status
+        self.status_at = self._now()
+
+    def lost(self):
+        """Forget the status after a connection was lost."""
+        self.status = None
+
+    async def _connect(self):
+        address = self.cfg.addresses.get(self.name, self.spec.address)
+        host, port = address.rsplit(":", 1)
+        raw = await asyncmy.connect(
+            host=host,
+            port=int(port),
+            user=self.cfg.database.user,
+            password=self.cfg.database.password,
+            connect_timeout=self.cfg.times.connect_s,
+            autocommit=None,
+            conv={},
+        )
+        conn = BackendConnection(raw)
+        status = parse_status(self.name, await conn.query("SELECT dfw_status()"))
+        # A position told by an earlier run of the database no longer counts.
+        if self.status and status.applied < self.status.applied:
+            self.status = None
+        self.note_status(status)
+        return conn
+
+    async def _open(self, timeout_s):
+        try:
+            async with asyncio.timeout(timeout_s):
+                conn = await self._connect()
+        except (OSError, TimeoutError, driver_errors.MySQLError, RuntimeError) as exc:
+            self.lost()
+            self.metrics.count("backend.connect_failed")
+            raise translate(exc, sent=False) from None
+        self._open_conns = {item for item in self._open_conns if not item.broken}
+        self._open_conns.add(conn)
+        return conn
+
+    async def acquire(self, workspace, deadline):
+        """Wait for this database's turn; return a connection for the workspace."""
+        now = self._now()
+        waiter = next(self._ids)
+        fut = asyncio.get_running_loop().create_future()
+        self._waiters[waiter] = fut
+        messages = admission.enqueue(self.admission, now, waiter, workspace, deadline)
+        if messages is None:
+            del self._waiters[waiter]
+            raise DfwError(errors.OVERLOADED, f"queue for database {self.name} is full")
+        self._deliver(messages)
+        self.outstanding += 1
+        try:
+            started = await fut
+        except asyncio.CancelledError:
+            self.outstanding -= 1
+            self._waiters.pop(waiter, None)
+            if not admission.cancel(self.admission, waiter):
+                self._deliver(admission.release(self.admission, self._now()))
+            raise
+        if not started:
+            self.outstanding -= 1
+            raise DfwError(errors.DEADLINE, f"no turn at database {self.name} in time")
+        return await self._connection_for(workspace, deadline)
+
+    async def _connection_for(self, workspace, deadline):
+        conn = None
+        try:
+            conn = self._pick_idle(workspace)
+            if conn is None:
+                conn = await self._open(max(0.001, deadline - self._now()))
+            if workspace != CONTROL_QUEUE:
+                async with asyncio.timeout_at(deadline):
+                    await conn.select_schema(workspace)
+            return conn
+        except BaseException as exc:
+            if conn:
+                conn.close()
+                self.lost()
+            self._give_back()
+            if isinstance(exc, (DfwError, asyncio.CancelledError)):
+                raise
+            raise translate(exc, sent=False) from None
+
+    def _pick_idle(self, workspace):
+        self._idle = [conn for conn in self._idle if not conn.broken]
+        for conn in self._idle:
+            if conn.schema == workspace:
+                self._idle.remove(conn)
+                return conn
+        return self._idle.pop() if self._idle else None
+
+    def _deliver(self, messages):
+        for message in messages:
+            fut = self._waiters.pop(message.waiter, None)
+            if fut and not fut.done():
+                fut.set_result(isinstance(message, admission.Start))
+            elif isinstance(message, admission.Start):
+                self._deliver(admission.release(self.admission, self._now()))
+
+    def _give_back(self):
+        self.outstanding -= 1
+        self._deliver(admission.release(self.admission, self._now()))
+
+    def release(self, conn, reusable):
+        """Give a connection back; one in any doubt is closed."""
+        if reusable and not conn.in_transaction and not conn.broken:
+            self._idle.append(conn)
+        else:
+            conn.close()
+        self._give_back()
+
+    async def run_on(self, conn, sql, deadline):
+        """Run a statement on an acquired connection until the deadline."""
+        started = self._now()
+        if conn.broken:
+            raise DfwError(errors.CONNECTION_LOST, f"lost connection to {self.name}")
+        try:
+            async with asyncio.timeout_at(deadline):
+                result = await conn.query(sql)
+        except TimeoutError:
+            raise DfwError(
+                errors.DEADLINE,
+                f"database {self.name} did not answer in time",
+                Verdict.MAY_HAVE_RUN,
+            ) from None
+        except (OSError, driver_errors.MySQLError, RuntimeError, ValueError) as exc:
+            failure = translate(exc, sent=True)
+            if not isinstance(failure, DatabaseError):
+                self.lost()
+            raise failure from None
+        self.latency_s = routing.average_latency(self.latency_s, self._now() - started)
+        return result
+
+    async def run(self, workspace, sql, deadline):
+        """Run one statement outside of transactions."""
+        conn = await self.acquire(workspace, deadline)
+        reusable = False
+        try:
+            result = await self.run_on(conn, sql, deadline)
+            reusable = True
+            return result
+        except DatabaseError:
+            reusable = True
+            raise
+        finally:
+            self.release(conn, reusable)
+
+    async def control(self, sql, timeout_s):
+        """Run a control statement; return the Status or None if it failed."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                if self.shared_control:
+                    result = await self._control_shared(sql, timeout_s)
+                else:
+                    result = await self._control_own(sql, timeout_s)
+        except (TimeoutError, DfwError):
+            self.metrics.count("backend.control_failed")
+            return None
+        status = parse_status(self.name, result)
+        self.note_status(status)
+        return status
+
+    async def _control_shared(self, sql, timeout_s):
+        for conn in self._open_conns:
+            if not conn.broken:
+                # Control statements read no data, so a transaction that holds
+                # the only connection is not disturbed.
+                return await self.run_on(conn, sql, self._now() + timeout_s)
+        return await self.run(CONTROL_QUEUE, sql, self._now() + timeout_s)
+
+    async def _control_own(self, sql, timeout_s):
+        async with self._control_lock:
+            if self._control is None or self._control.broken:
+                self._control = await self._open(timeout_s)
+            try:
+                return await self._control.query(sql)
+            except (OSError, driver_errors.MySQLError, RuntimeError, ValueError) as exc:
+                self.lost()
+                raise translate(exc, sent=True) from None
+            except asyncio.CancelledError:
+                self.lost()
+                raise
+
+    async def expire(self):
+        """Refuse waiters past their deadline, until cancelled."""
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            self._deliver(admission.expire(self.admission, self._now()))
+
+    def close(self):
+        """Close all connections that are not in use."""
+        for conn in [*self._idle, *self._open_conns]:
+            conn.close()
+        self._idle = []
+        logs.event("backend_closed", database=self.name)
--- /dev/null
+++ b/dragonflywing/callers.py
@@ -0,0 +1,543 @@
+"""Callers' sessions: what happens to each statement."""
+
+import asyncio
+import random
+
+from dragonflywing import errors, identity, recorded
+from dragonflywing.backend import parse_position
+from dragonflywing.decisions import retries, routing, statements, versions
+from dragonflywing.decisions.positions import ZERO, decode_token, encode_token
+from dragonflywing.decisions.statements import Kind
+from dragonflywing.errors import DatabaseError, DfwError, Verdict
+from dragonflywing.wire import Column, Result, WireSession
+
+VAR_STRING = 253
+SERVER_VERSION = "8.0.36-dragonflywing"
+SHOW_COLUMNS = (Column("Variable_name", VAR_STRING), Column("Value", VAR_STRING))
+VARIABLES = {
+    "version": SERVER_VERSION,
+    "version_comment": "dragonflywing",
+    "sql_mode": "STRICT_TRANS_TABLES",
+    "lower_case_table_names": "0",
+    "transaction_isolation": "REPEATABLE-READ",
+    "tx_isolation": "REPEATABLE-READ",
+    "max_allowed_packet": "4194304",
+    "character_set_client": "utf8mb4",
+    "character_set_results": "utf8mb4",
+    "collation_connection": "utf8mb4_general_ci",
+    "time_zone": "SYSTEM",
+    "system_time_zone": "UTC",
+    "auto_increment_increment": "1",
+    "default_storage_engine": "InnoDB",
+    "socket": "",
+    "port": "3306",
+}
+
+
+class Transaction:
+    """A transaction of a caller and the connection that it owns."""
+
+    def __init__(self, now):
+        self.conn = None
+        self.backend = None
+        self.aborted = False
+        self.wrote = False
+        self.used_at = now
+        self.request_id = None
+
+
+class CallerSession(WireSession):
+    """One caller's connection: its workspace, floor and transaction."""
+
+    def __init__(self, entry):
+        super().__init__()
+        self.entry = entry
+        self.floor = ZERO
+        self.has_token = False
+        self.route = ""
+        self.request_id = None
+        self.transaction = None
+        self.auto = True
+        self.busy = False
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+    def caller(self):
+        """Return (workspace, key id), both None for a caller without key."""
+        return identity.split_user(self.username)
+
+    def in_transaction(self):
+        return self.transaction is not None
+
+    def autocommit(self):
+        return self.auto
+
+    async def close(self):
+        await self._abandon()
+
+    async def reset(self):
+        await self._abandon()
+        self.auto = True
+        self.route = ""
+        self.request_id = None
+
+    async def use(self, database):
+        workspace, _ = self.caller()
+        if database and database != workspace:
+            raise DfwError(errors.OTHER_WORKSPACE, f"no access to schema {database!r}")
+        self.database = database
+
+    async def execute(self, sql, attrs):
+        started = self._now()
+        self.busy = True
+        try:
+            return await self._execute(sql, attrs, started)
+        finally:
+            self.busy = False
+            self.entry.metrics.time("statement", self._now() - started)
+
+    # Checks
+
+    def _check(self, route):
+        """Return (configuration, workspace) if the caller may run statements."""
+        entry = self.entry
+        cfg = entry.versions.cfg
+        if cfg is None:
+            raise DfwError(errors.NO_CONFIGURATION, "no configuration is in force yet")
+        if versions.age(entry.versions, self._now()) > entry.cfg.times.offline_keys_s:
+            raise DfwError(
+                errors.CONFIGURATION_STALE,
+                "keys were not confirmed by the store for too long",
+            )
+        workspace, key_id = self.caller()
+        if workspace is None:
+            spec = cfg.routes.get(route)
+            if spec is None or not spec.open:
+                raise DfwError(errors.ACCESS_DENIED, "this route needs a key")
+            return cfg, spec.workspace
+        if not identity.is_valid(cfg, workspace, key_id):
+            raise DfwError(errors.KEY_WITHDRAWN, "the key was withdrawn")
+        if self.database and self.database != workspace:
+            raise DfwError(
+                errors.OTHER_WORKSPACE, f"no access to schema {self.database!r}"
+            )
+        return cfg, workspace
+
+    async def _execute(self, sql, attrs, started):
+        route = attrs.get("route", self.route)
+        if "session_token" in attrs:
+            self._set_token(attrs["session_token"])
+        cfg, workspace = self._check(route)
+        statement = statements.decide(self.entry.statements, sql, workspace)
+        if self.caller()[0] is None and statement.kind not in (Kind.READ, Kind.SHOW):
+            if statement.kind is not Kind.SET:
+                raise DfwError(errors.ACCESS_DENIED, "open routes serve reads only")
+        deadline = started + self.entry.cfg.times.statement_s
+        request_id = attrs.get("request_id") or self.request_id
+        return await self._dispatch(
+            statement, sql, cfg, workspace, route, deadline, request_id
+        )
+
+    async def _dispatch(
+        self, statement, sql, cfg, workspace, route, deadline, request_id
+    ):
+        kind = statement.kind
+        if kind is Kind.SET:
+            return await self._set(statement.values, deadline)
+        if kind is Kind.SHOW:
+            return self._show(*statement.values)
+        if kind is Kind.USE:
+            return Result()
+        if kind is Kind.ROLLBACK:
+            return await self._rollback(deadline)
+        if kind is Kind.COMMIT:
+            return await self._commit(workspace, deadline, request_id)
+        group = self.entry.groups[cfg.workspaces[workspace].group]
+        if kind is Kind.BEGIN:
+            await self._commit(workspace, deadline, None)
+            self._start_transaction(request_id)
+            return Result()
+        if self.transaction is None and not self.auto:
+            self._start_transaction(request_id)
+        await self.entry.limiter.admit(workspace)
+        if self.transaction is not None:
+            return await self._in_transaction(group, workspace, sql, kind, deadline)
+        if kind is Kind.READ:
+            max_age_s = (
+                cfg.routes[route].max_age_ms / 1000 if route in cfg.routes else 0
+            )
+            return await self._read(group, workspace, sql, max_age_s, deadline)
+        self.request_id = None
+        return await self._write(group, workspace, sql, request_id, deadline)
+
+    # Settings
+
+    def _set_token(self, text):
+        try:
+            token = decode_token(text)
+        except ValueError:
+            raise DfwError(
+                errors.STATEMENT_REFUSED, "session_token: expected TERM.INDEX"
+            ) from None
+        self.has_token = True
+        self.floor = max(self.floor, token)
+
+    async def _set(self, settings, deadline):
+        for name, value in settings:
+            if name == "autocommit":
+                self.auto = value.lower() in ("1", "on", "true")
+                if self.auto and self.transaction is not None:
+                    workspace, _ = self.caller()
+                    await self._commit(workspace, deadline, None)
+            elif name == "@dfw_session_token":
+                self._set_token(value)
+            elif name == "@dfw_route":
+                self.route = value
+            elif name == "@dfw_request_id":
+                self.request_id = recorded.check_id(value)
+            elif name.startswith("@"):
+                raise DfwError(errors.STATEMENT_REFUSED, f"unknown setting {name}")
+        return Result()
+
+    def _show(self, shape, name):
+        values = {
+            **VARIABLES,
+            "database": self.caller()[0],
+            "schema": self.caller()[0],
+            "version": SERVER_VERSION,
+            "connection_id": str(self.connection.connection_id),
+            "autocommit": "1" if self.auto else "0",
+            "dfw_session_token": encode_token(self.floor),
+        }
+        if shape == "row":
+            rows = ((name, values[name]),) if name in values else ()
+            return Result(SHOW_COLUMNS, rows)
+        if name not in values:
+            code = errors.Code(1193, "HY000", "unknown_variable")
+            raise DfwError(code, f"unknown system variable {name!r}")
+        return Result((Column(f"@@{name}", VAR_STRING),), ((values[name],),))
+
+    # Reads
+
+    async def _read(self, group, workspace, sql, max_age_s, deadline):
+        budget = self.entry.retry_budget
+        budget.attempt()
+        attempt = 0
+        while True:
+            try:
+                return await self._read_once(group, workspace, sql, max_age_s, deadline)
+            except DatabaseError:
+                raise
+            except DfwError as exc:
+                exc.verdict = Verdict.NOT_RUN
+                await self._pause_or_raise(exc, attempt, deadline, "read")
+            attempt += 1
+
+    async def _pause_or_raise(self, exc, attempt, deadline, kind):
+        """Wait before a retry, or raise if there is no time or budget for it."""
+        pause = retries.backoff(attempt, random)
+        late = self._now() + pause >= deadline
+        if late or exc.code in (errors.RATE_EXCEEDED, errors.OVERLOADED):
+            raise exc
+        # Waiting for a new primary must outlast the budget of a busy instance.
+        if exc.code is not errors.NO_PRIMARY and not self.entry.retry_budget.spend():
+            self.entry.metrics.count("retry.budget_spent")
+            raise exc
+        self.entry.metrics.count(f"retry.{kind}.{exc.code.reason}")
+        await asyncio.sleep(pause)
+
+    async def _read_floor(self, group, max_age_s, deadline):
+        """Return the position that a database must have reached to serve."""
+        if self.has_token:
+            return self.floor
+        if max_age_s:
+            aged = group.ages.floor(self._now(), max_age_s)
+            if aged is not None:
+                return max(self.floor, aged)
+        granted = await group.fence(deadline)
+        return max(self.floor, granted.position)
+
+    async def _read_once(self, group, workspace, sql, max_age_s, deadline):
+        metrics = self.entry.metrics
+        floor = await self._read_floor(group, max_age_s, deadline)
+        chosen = routing.choose(group.replicas(), floor, random)
+        if chosen is None:
+            wait_s = self.entry.cfg.times.replica_wait_s
+            limit = min(deadline, self._now() + wait_s)
+            if await group.wait_replica(floor, limit):
+                chosen = routing.choose(group.replicas(), floor, random)
+        if chosen is not None:
+            backend = group.backends[chosen.name]
+            result = await backend.run(workspace, sql, deadline)
+            metrics.count("read.replica")
+            self.floor = max(self.floor, chosen.position)
+            return result
+        return await self._read_primary(group, workspace, sql, floor, deadline)
+
+    async def _read_primary(self, group, workspace, sql, floor, deadline):
+        """Read from the primary, once a majority has confirmed that it is one."""
+        granted = await group.fence(deadline)
+        backend = group.backends[granted.primary]
+        result = await backend.run(workspace, sql, deadline)
+        self.entry.metrics.count("read.primary")
+        self.floor = max(self.floor, floor, granted.position)
+        return result
+
+    # Writes
+
+    async def _write(self, group, workspace, sql, request_id, deadline):
+        if request_id is not None:
+            recorded.check_id(request_id)
+        self.entry.retry_budget.attempt()
+        attempt = 0
+        while True:
+            try:
+                if request_id is None:
+                    return await self._write_once(group, workspace, sql, deadline)
+                return await self._write_recorded(
+                    group, workspace, sql, request_id, deadline
+                )
+            except DatabaseError:
+                raise
+            except DfwError as exc:
+                if not retries.may_retry(exc.verdict, False, request_id is not None):
+                    raise
+                await self._pause_or_raise(exc, attempt, deadline, "write")
+            attempt += 1
+
+    async def _write_once(self, group, workspace, sql, deadline):
+        backend = await group.wait_primary(deadline)
+        try:
+            result = await backend.run(workspace, sql, deadline)
+        except DfwError as exc:
+            self._note_failure(group, backend, exc)
+            raise
+        await self._acknowledge(group, backend, result, deadline)
+        return result._replace(info=b"")
+
+    def _note_failure(self, group, backend, exc):
+        if exc.code in (errors.NO_PRIMARY, errors.NO_DATABASE):
+            group.forget_primary(backend.name)
+
+    async def _acknowledge(self, group, backend, result, deadline):
+        position = parse_position(result.info)
+        if position is None:
+            return
+        await group.ack(backend.name, position, deadline)
+        self.floor = max(self.floor, position)
+
+    async def _write_recorded(self, group, workspace, sql, request_id, deadline):
+        backend = await group.wait_primary(deadline)
+        try:
+            conn = await backend.acquire(workspace, deadline)
+        except DfwError as exc:
+            self._note_failure(group, backend, exc)
+            raise
+        reusable = False
+
+        async def run(text):
+            return await backend.run_on(conn, text, deadline)
+
+        try:
+            result, info = await self._run_recorded(run, sql, request_id)
+            reusable = True
+        except DatabaseError:
+            reusable = True
+            raise
+        except DfwError as exc:
+            self._note_failure(group, backend, exc)
+            raise
+        finally:
+            backend.release(conn, reusable)
+        if info:
+            await self._acknowledge(group, backend, Result(info=info), deadline)
+        else:
+            await self._acknowledge_all(group, backend, deadline)
+        return result
+
+    async def _run_recorded(self, run, sql, request_id):
+        """Return (result, commit's info); the info is empty for a repeat."""
+        await run("BEGIN")
+        try:
+            result = await run(sql)
+            await run(recorded.insert_sql(request_id, result))
+        except DatabaseError as exc:
+            await run("ROLLBACK")
+            found = await recorded.find(run, request_id)
+            if found is not None:
+                self.entry.metrics.count("write.repeated")
+                return found, b""
+            if exc.code.errno == recorded.NO_TABLE_ERRNO and recorded.TABLE in str(exc):
+                await run(recorded.CREATE)
+                return await self._run_recorded(run, sql, request_id)
+            raise
+        return result._replace(info=b""), (await run("COMMIT")).info
+
+    async def _acknowledge_all(self, group, backend, deadline):
+        """Return once a majority stores all that the primary has committed."""
+        status = await backend.control(
+            "SELECT dfw_status()", self.entry.cfg.times.probe_timeout_s
+        )
+        if status is None or not status.primary:
+            raise DfwError(
+                errors.ACK_TIMEOUT,
+                "the primary's position is unknown",
+                Verdict.MAY_HAVE_RUN,
+            )
+        if status.received.term == status.term:
+            await group.ack(backend.name, status.received, deadline)
+        self.floor = max(self.floor, status.received)
+
+    # Transactions
+
+    def _start_transaction(self, request_id):
+        self.transaction = Transaction(self._now())
+        self.transaction.request_id = request_id
+
+    async def _in_transaction(self, group, workspace, sql, kind, deadline):
+        transaction = self.transaction
+        if transaction.aborted:
+            raise DfwError(errors.TRANSACTION_LOST, "the transaction was rolled back")
+        transaction.used_at = self._now()
+        if transaction.conn is None:
+            await self._open_transaction(group, workspace, deadline)
+        backend = transaction.backend
+        try:
+            result = await backend.run_on(transaction.conn, sql, deadline)
+        except DatabaseError:
+            raise
+        except DfwError as exc:
+            await self._abort(transaction)
+            self._note_failure(group, backend, exc)
+            # The transaction was not committed, so nothing of it can remain.
+            raise DfwError(
+                errors.TRANSACTION_LOST, f"rolled back: {exc.message}"
+            ) from exc
+        transaction.used_at = self._now()
+        transaction.wrote = transaction.wrote or kind is Kind.WRITE
+        return result._replace(info=b"")
+
+    async def _open_transaction(self, group, workspace, deadline):
+        attempt = 0
+        while True:
+            backend = await group.wait_primary(deadline)
+            conn = None
+            try:
+                # No transaction starts at a primary that was replaced.
+                granted = await group.fence(deadline)
+                backend = group.backends[granted.primary]
+                conn = await backend.acquire(workspace, deadline)
+                await backend.run_on(conn, "BEGIN", deadline)
+            except DfwError as exc:
+                if conn is not None:
+                    backend.release(conn, False)
+                self._note_failure(group, backend, exc)
+                if isinstance(exc, DatabaseError):
+                    raise
+                exc.verdict = Verdict.NOT_RUN
+                await self._pause_or_raise(exc, attempt, deadline, "begin")
+                attempt += 1
+                continue
+            except BaseException:
+                if conn is not None:
+                    backend.release(conn, False)
+                raise
+            conn.in_transaction = True
+            self.transaction.conn = conn
+            self.transaction.backend = backend
+            return
+
+    async def _abort(self, transaction):
+        """Give up a transaction's connection; the caller must still end it."""
+        transaction.aborted = True
+        if transaction.conn is not None:
+            transaction.backend.release(transaction.conn, False)
+            transaction.conn = None
+
+    async def _abandon(self):
+        transaction, self.transaction = self.transaction, None
+        if transaction is not None:
+            await self._abort(transaction)
+
+    async def abort_idle(self, now, limit_s):
+        """Roll back a transaction that its caller has left idle."""
+        transaction = self.transaction
+        if transaction is None or self.busy or transaction.conn is None:
+            return
+        if now - transaction.used_at > limit_s:
+            self.entry.metrics.count("transaction.idle")
+            await self._abort(transaction)
+
+    async def _rollback(self, deadline):
+        transaction, self.transaction = self.transaction, None
+        self.request_id = None
+        if transaction is None or transaction.conn is None:
+            return Result()
+        conn, backend = transaction.conn, transaction.backend
+        try:
+            await backend.run_on(conn, "ROLLBACK", deadline)
+            conn.in_transaction = False
+        except DfwError:
+            pass
+        finally:
+            backend.release(conn, not conn.in_transaction)
+        return Result()
+
+    async def _commit(self, workspace, deadline, request_id):
+        transaction, self.transaction = self.transaction, None
+        if transaction is None:
+            return Result()
+        self.request_id = None
+        if transaction.aborted:
+            raise DfwError(errors.TRANSACTION_LOST, "the transaction was rolled back")
+        if transaction.conn is None:
+            return Result()
+        request_id = transaction.request_id or request_id
+        cfg = self.entry.versions.cfg
+        group = self.entry.groups[cfg.workspaces[workspace].group]
+        conn, backend = transaction.conn, transaction.backend
+        try:
+            result = await self._commit_on(conn, backend, request_id, deadline)
+            conn.in_transaction = False
+        except DfwError as exc:
+            self._note_failure(group, backend, exc)
+            raise
+        finally:
+            backend.release(conn, not conn.in_transaction)
+        if result is None:
+            await self._acknowledge_all(group, backend, deadline)
+            return Result()
+        await self._acknowledge(group, backend, result, deadline)
+        return Result()
+
+    async def _commit_on(self, conn, backend, request_id, deadline):
+        """Return COMMIT's Result, or None if the request had run before."""
+
+        async def run(text):
+            return await backend.run_on(conn, text, deadline)
+
+        if request_id is not None:
+            recorded.check_id(request_id)
+            try:
+                await run(recorded.insert_sql(request_id, Result()))
+            except DatabaseError as exc:
+                return await self._settle_duplicate(run, request_id, exc)
+        try:
+            return await run("COMMIT")
+        except DfwError as exc:
+            if exc.code is errors.NO_PRIMARY:
+                raise DfwError(errors.TRANSACTION_LOST, exc.message) from exc
+            raise
+
+    async def _settle_duplicate(self, run, request_id, exc):
+        await run("ROLLBACK")
+        if exc.code.errno == recorded.NO_TABLE_ERRNO:
+            await run(recorded.CREATE)
+            raise DfwError(
+                errors.TRANSACTION_LOST, "rolled back to create a table; try again"
+            )
+        if await recorded.find(run, request_id) is None:
+            raise exc
+        self.entry.metrics.count("write.repeated")
+        return None
--- /dev/null
+++ b/dragonflywing/decisions/fences.py
@@ -0,0 +1,101 @@
+"""Coalesced fences: one round of status queries serves all waiting reads.
+
+A read that has no session token needs the position of the group's primary,
+taken after the read arrived, and the word of a majority that the primary has
+not been replaced. Reads that arrive while a round is under way wait for the
+next one, so a group has at most one round in flight at any rate of reads.
+"""
+
+from typing import NamedTuple
+
+from dragonflywing.decisions.positions import confirmed_primary
+
+
+class Query(NamedTuple):
+    """Ask a database for its status in the given round."""
+
+    round_id: int
+    database: str
+
+
+class Granted(NamedTuple):
+    """The fence of a waiter: the floor, its primary, and when that was asked."""
+
+    waiter: int
+    position: tuple
+    primary: str
+    asked_at: float
+
+
+class Refused(NamedTuple):
+    """No majority confirmed a primary for this waiter's round."""
+
+    waiter: int
+
+
+class FenceState:
+    """The waiters and the round in flight of one group."""
+
+    def __init__(self, databases):
+        self.databases = tuple(databases)
+        self.round_id = 0
+        self.waiting = []
+        self.served = []
+        self.missing = set()
+        self.statuses = []
+        self.asked_at = 0.0
+        self.deadline = 0.0
+
+
+def ask(state, now, waiter, timeout_s):
+    """Add a waiter; return the queries of a new round if none is in flight."""
+    state.waiting.append(waiter)
+    if state.served:
+        return []
+    return _start_round(state, now, timeout_s)
+
+
+def _start_round(state, now, timeout_s):
+    if not state.waiting:
+        return []
+    state.round_id += 1
+    state.served = state.waiting
+    state.waiting = []
+    state.missing = set(state.databases)
+    state.statuses = []
+    state.asked_at = now
+    state.deadline = now + timeout_s
+    return [Query(state.round_id, name) for name in state.databases]
+
+
+def answer(state, now, round_id, database, status, timeout_s):
+    """Take a database's status (None if it failed); return what follows."""
+    if round_id != state.round_id or database not in state.missing:
+        return []
+    state.missing.discard(database)
+    if status is not None:
+        state.statuses.append(status)
+    leader = confirmed_primary(state.statuses, len(state.databases))
+    if leader is None:
+        return _refuse_round(state, now, timeout_s) if not state.missing else []
+    granted = [
+        Granted(waiter, leader.applied, leader.database, state.asked_at)
+        for waiter in state.served
+    ]
+    state.served = []
+    state.missing = set()
+    return granted + _start_round(state, now, timeout_s)
+
+
+def expire(state, now, timeout_s):
+    """End a round that has passed its deadline."""
+    if not state.served or now < state.deadline:
+        return []
+    return _refuse_round(state, now, timeout_s)
+
+
+def _refuse_round(state, now, timeout_s):
+    refused = [Refused(waiter) for waiter in state.served]
+    state.served = []
+    state.missing = set()
+    return refused + _start_round(state, now, timeout_s)
--- /dev/null
+++ b/dragonflywing/decisions/membership.py
@@ -0,0 +1,92 @@
+"""The entry instances known to one another by exchanged heartbeats."""
+
+import hashlib
+from typing import NamedTuple
+
+# Records of members in one message.
+MEMBERS_PER_MESSAGE = 24
+# Instances of a data centre that watch the store for all of it.
+WATCHERS = 2
+
+
+class Member(NamedTuple):
+    """An instance's record; the greater (incarnation, heartbeat) wins."""
+
+    instance: str
+    data_centre: str
+    address: str
+    incarnation: int
+    heartbeat: int
+    leaving: bool
+    store_ok: bool
+
+
+class MemberState:
+    """The members that an instance knows and when each was last heard of."""
+
+    def __init__(self, me):
+        self.me = me
+        self.members = {}
+        self.heard_at = {}
+
+
+def beat(state, leaving, store_ok):
+    """Advance the own heartbeat."""
+    state.me = state.me._replace(
+        heartbeat=state.me.heartbeat + 1, leaving=leaving, store_ok=store_ok
+    )
+
+
+def merge(state, now, members):
+    """Take records from a peer; keep the newer of each."""
+    for member in members:
+        if member.instance == state.me.instance:
+            continue
+        known = state.members.get(member.instance)
+        newer = known is None or (member.incarnation, member.heartbeat) > (
+            known.incarnation,
+            known.heartbeat,
+        )
+        if newer:
+            state.members[member.instance] = member
+            state.heard_at[member.instance] = now
+
+
+def alive(state, now, timeout_s):
+    """Return the other members heard of within the timeout."""
+    return [
+        member
+        for name, member in state.members.items()
+        if now - state.heard_at[name] <= timeout_s
+    ]
+
+
+def forget(state, now, timeout_s):
+    """Drop members not heard of for ten timeouts."""
+    for name in [x for x, at in state.heard_at.items() if now - at > 10 * timeout_s]:
+        del state.heard_at[name]
+        del state.members[name]
+
+
+def sample(state, now, timeout_s, rng):
+    """Return the records for one message: the own and some others at random."""
+    others = alive(state, now, timeout_s)
+    count = min(len(others), MEMBERS_PER_MESSAGE - 1)
+    return [state.me, *rng.sample(others, count)]
+
+
+def _rank(instance):
+    return hashlib.sha256(instance.encode()).digest()
+
+
+def is_watcher(state, now, timeout_s):
+    """Return whether this instance watches the store for its data centre."""
+    rivals = [
+        member.instance
+        for member in alive(state, now, timeout_s)
+        if member.data_centre == state.me.data_centre
+        and member.store_ok
+        and not member.leaving
+    ]
+    ranked = sorted([state.me.instance, *rivals], key=_rank)
+    return state.me.instance in ranked[:WATCHERS]
--- /dev/null
+++ b/dragonflywing/decisions/shares.py
@@ -0,0 +1,286 @@
+"""Rate and burst of each workspace, divided over the fleet without overlap.
+
+The rate and burst of every workspace are divided into equal slots. The
+holder of a slot may refill and spend only its part. Parts move as loans: the
+lender gives up a part before it answers, for a fixed time on its own clock;
+the borrower uses it from the answer on until the same time after its own
+question. The borrower's use therefore lies within the lender's abstention,
+and a lost message wastes a part but never makes one.
+
+Shares are fractions of a workspace's whole rate and burst.
+"""
+
+from typing import NamedTuple
+
+# Time that a loan lasts, in seconds.
+LOAN_S = 2.0
+# A loan is extended once this share of its time has passed.
+EXTEND_AFTER = 0.5
+# Weight of the demand seen in the latest period, and the period in seconds.
+DEMAND_WEIGHT = 0.3
+DEMAND_PERIOD_S = 0.25
+# A lender keeps this many times its own demand.
+LENDER_MARGIN = 1.3
+# A borrower asks for this many times its unmet demand.
+BORROWER_MARGIN = 1.3
+# Loans below this share are not worth a message.
+LEAST_LOAN = 0.002
+
+
+class Loan(NamedTuple):
+    """A share lent or borrowed, valid until `until` on the holder's clock."""
+
+    loan_id: str
+    share: float
+    until: float
+
+
+class BorrowRequest(NamedTuple):
+    """Ask a peer to lend, or to extend a loan that it gave."""
+
+    loan_id: str
+    workspace: str
+    share: float
+
+
+class BorrowAnswer(NamedTuple):
+    """What a peer lends; `tokens` are statements that it gave up as well."""
+
+    loan_id: str
+    workspace: str
+    share: float
+    tokens: float
+
+
+class Bucket:
+    """One instance's part of a workspace's rate and burst."""
+
+    def __init__(self, rate, burst, now):
+        self.rate = rate
+        self.burst = burst
+        self.tokens = 0.0
+        self.filled_at = now
+        self.lent = {}
+        self.borrowed = {}
+        self.arrivals = 0
+        self.demand = 0.0
+        self.demand_at = now
+
+
+class ShareState:
+    """The buckets of one instance and its slot of the fleet's shares."""
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.has_slot = False
+        self.refill_from = 0.0
+        self.valid_until = 0.0
+        self.buckets = {}
+        self.answered = {}
+
+
+def take_slot(state, now, valid_until):
+    """Start to hold a slot; it refills after all loans of its last holder ended."""
+    state.has_slot = True
+    state.refill_from = now + LOAN_S
+    state.valid_until = valid_until
+    for bucket in state.buckets.values():
+        _advance(state, bucket, now)
+
+
+def renew_slot(state, valid_until):
+    """Extend the time for which the slot is held."""
+    state.valid_until = max(state.valid_until, valid_until)
+
+
+def drop_slot(state, now):
+    """Stop to hold the slot."""
+    for bucket in state.buckets.values():
+        _advance(state, bucket, now)
+    state.has_slot = False
+    state.valid_until = now
+
+
+def configure(state, now, limits):
+    """Take the rate and burst of every workspace: {name: (rate, burst)}."""
+    for name in [name for name in state.buckets if name not in limits]:
+        del state.buckets[name]
+    for name, (rate, burst) in limits.items():
+        bucket = state.buckets.get(name)
+        if bucket is None:
+            state.buckets[name] = Bucket(rate, burst, now)
+            continue
+        _advance(state, bucket, now)
+        bucket.rate = rate
+        bucket.burst = burst
+        bucket.tokens = min(bucket.tokens, _cap(state, bucket, now))
+
+
+def _own_share(state, now):
+    return 1.0 / state.slots if state.has_slot and now < state.valid_until else 0.0
+
+
+def share(state, bucket, now):
+    """Return the share that the bucket may use at `now`."""
+    own = _own_share(state, now)
+    lent = sum(loan.share for loan in bucket.lent.values() if loan.until > now)
+    borrowed = sum(loan.share for loan in bucket.borrowed.values() if loan.until > now)
+    return max(0.0, own - lent) + borrowed
+
+
+def _cap(state, bucket, now):
+    return bucket.burst * share(state, bucket, now)
+
+
+def _change_times(state, bucket, now):
+    loans = list(bucket.lent.values()) + list(bucket.borrowed.values())
+    times = {loan.until for loan in loans} | {state.refill_from, state.valid_until}
+    return sorted(time for time in times if bucket.filled_at < time < now) + [now]
+
+
+def _advance(state, bucket, now):
+    """Refill up to `now`, piece by piece between changes of the share."""
+    if now <= bucket.filled_at:
+        return
+    for time in _change_times(state, bucket, now):
+        middle = (bucket.filled_at + time) / 2
+        part = share(state, bucket, middle)
+        if middle < state.refill_from:
+            part = sum(x.share for x in bucket.borrowed.values() if x.until > middle)
+        added = bucket.rate * part * (time - bucket.filled_at)
+        cap = bucket.burst * part
+        bucket.tokens = min(bucket.tokens + added, cap)
+        bucket.filled_at = time
+    bucket.tokens = min(bucket.tokens, _cap(state, bucket, now))
+    for loans in (bucket.lent, bucket.borrowed):
+        for loan_id in [x.loan_id for x in loans.values() if x.until <= now]:
+            del loans[loan_id]
+
+
+def arrive(state, now, workspace):
+    """Count a request for the estimate of demand."""
+    bucket = state.buckets[workspace]
+    bucket.arrivals += 1
+
+
+def admit(state, now, workspace):
+    """Take one token; return whether there was one."""
+    bucket = state.buckets[workspace]
+    _advance(state, bucket, now)
+    if bucket.tokens < 1.0:
+        return False
+    bucket.tokens -= 1.0
+    return True
+
+
+def refill_rate(state, now, workspace):
+    """Return the statements per second that this instance may serve now."""
+    bucket = state.buckets[workspace]
+    return bucket.rate * share(state, bucket, now)
+
+
+def measure_demand(state, now):
+    """Update every workspace's estimate of arrivals per second."""
+    for bucket in state.buckets.values():
+        elapsed = now - bucket.demand_at
+        if elapsed < DEMAND_PERIOD_S:
+            continue
+        seen = bucket.arrivals / elapsed
+        if seen >= bucket.demand:
+            bucket.demand = seen
+        else:
+            bucket.demand += DEMAND_WEIGHT * (seen - bucket.demand)
+        bucket.arrivals = 0
+        bucket.demand_at = now
+
+
+def spare(state, now):
+    """Return the share of each workspace that this instance could lend."""
+    found = {}
+    for name, bucket in state.buckets.items():
+        needed = LENDER_MARGIN * bucket.demand / bucket.rate
+        lent = sum(loan.share for loan in bucket.lent.values() if loan.until > now)
+        # Borrowed shares are not lent on, so only the own slot counts.
+        free = _own_share(state, now) - lent - needed
+        if free >= LEAST_LOAN:
+            found[name] = free
+    return found
+
+
+def wanted(state, now):
+    """Return the share of each workspace that this instance should borrow."""
+    found = {}
+    for name, bucket in state.buckets.items():
+        needed = BORROWER_MARGIN * bucket.demand / bucket.rate
+        # A workspace needs no more than its whole share.
+        missing = min(needed, 1.0) - share(state, bucket, now)
+        if missing >= LEAST_LOAN and bucket.demand > 0:
+            found[name] = missing
+    return found
+
+
+def loans_to_extend(state, now):
+    """Return requests for the borrowed shares that are still needed."""
+    requests = []
+    for name, bucket in state.buckets.items():
+        surplus = share(state, bucket, now)
+        surplus -= BORROWER_MARGIN * bucket.demand / bucket.rate
+        for loan in bucket.borrowed.values():
+            if loan.until <= now or loan.until - now > LOAN_S * (1 - EXTEND_AFTER):
+                continue
+            if surplus >= loan.share:
+                surplus -= loan.share
+                continue
+            requests.append(BorrowRequest(loan.loan_id, name, loan.share))
+    return requests
+
+
+def lend(state, now, request):
+    """Give up a share for LOAN_S and return the answer for the borrower."""
+    bucket = state.buckets.get(request.workspace)
+    if bucket is None:
+        return BorrowAnswer(request.loan_id, request.workspace, 0.0, 0.0)
+    _advance(state, bucket, now)
+    held = bucket.lent.get(request.loan_id)
+    if now >= state.valid_until:
+        # The slot may have a new holder; it waits for loans made before only.
+        return BorrowAnswer(request.loan_id, request.workspace, 0.0, 0.0)
+    if held is not None:
+        bucket.lent[request.loan_id] = held._replace(until=now + LOAN_S)
+        return BorrowAnswer(request.loan_id, request.workspace, held.share, 0.0)
+    _forget_answered(state, now)
+    # A repeated request whose loan has ended must not start it again.
+    if request.loan_id in state.answered or now < state.refill_from:
+        return BorrowAnswer(request.loan_id, request.workspace, 0.0, 0.0)
+    state.answered[request.loan_id] = now
+    free = spare(state, now).get(request.workspace, 0.0)
+    part = min(free, request.share)
+    if part < LEAST_LOAN:
+        return BorrowAnswer(request.loan_id, request.workspace, 0.0, 0.0)
+    bucket.lent[request.loan_id] = Loan(request.loan_id, part, now + LOAN_S)
+    cap = _cap(state, bucket, now)
+    tokens = max(0.0, bucket.tokens - cap)
+    bucket.tokens -= tokens
+    return BorrowAnswer(request.loan_id, request.workspace, part, tokens)
+
+
+def _forget_answered(state, now):
+    old = [key for key, at in state.answered.items() if at < now - 10 * LOAN_S]
+    for key in old:
+        del state.answered[key]
+
+
+def borrow(state, now, answer, asked_at):
+    """Use a lent share until LOAN_S after the question was sent."""
+    bucket = state.buckets.get(answer.workspace)
+    until = asked_at + LOAN_S
+    if bucket is None or answer.share <= 0 or until <= now:
+        return
+    _advance(state, bucket, now)
+    held = bucket.borrowed.get(answer.loan_id)
+    if held is not None:
+        until = max(until, held.until)
+    bucket.borrowed[answer.loan_id] = Loan(answer.loan_id, answer.share, until)
+    if held is None:
+        cap = _cap(state, bucket, now)
+        bucket.tokens = min(bucket.tokens + answer.tokens, cap)
--- /dev/null
+++ b/dragonflywing/decisions/statements.py
@@ -0,0 +1,267 @@
+"""What a statement may do, decided from its parse tree.
+
+Statements that differ only in literals share one decision, so clients that
+write values into the text are parsed once for each shape.
+"""
+
+import enum
+import re
+from collections import OrderedDict
+from typing import NamedTuple
+
+import sqlglot
+from sqlglot import exp
+from sqlglot.errors import SqlglotError
+from sqlglot.tokens import TokenType
+
+from dragonflywing import errors
+from dragonflywing.errors import DfwError
+
+CACHE_SIZE = 4096
+RESERVED_PREFIX = "dfw_"
+LITERALS = {TokenType.NUMBER, TokenType.STRING, TokenType.HEX_STRING}
+DENIED_FUNCTIONS = {
+    "benchmark",
+    "get_lock",
+    "is_free_lock",
+    "is_used_lock",
+    "load_file",
+    "master_pos_wait",
+    "release_all_locks",
+    "release_lock",
+    "sleep",
+    "source_pos_wait",
+    "wait_for_executed_gtid_set",
+}
+READS = (exp.Select, exp.SetOperation, exp.Subquery, exp.Describe, exp.Values)
+WRITES = (exp.Insert, exp.Update, exp.Delete, exp.TruncateTable)
+TABLE_CHANGES = (exp.Create, exp.Drop, exp.Alter)
+TABLE_KINDS = {"TABLE", "INDEX"}
+IGNORED_SETTINGS = {
+    "character_set_client",
+    "character_set_connection",
+    "character_set_results",
+    "collation_connection",
+    "names",
+    "net_write_timeout",
+    "wait_timeout",
+    "interactive_timeout",
+}
+SET_STATEMENT = re.compile(r"\s*set\s+(.*?);?\s*$", re.I | re.S)
+SET_ITEM = re.compile(
+    r"(?:session\s+|@@(?:session\.)?)?(@?[a-z_]+)\s*(?::?=|\s)\s*"
+    r"('[^'\\]*'|\"[^\"\\]*\"|[a-z0-9_.@:-]+)",
+    re.I,
+)
+VARIABLE_QUERY = re.compile(
+    r"\s*select\s+@@(?:session\.|global\.)?([a-z_]+)\s*(?:as\s+\w+\s*)?"
+    r"(?:limit\s+1\s*)?;?\s*$",
+    re.I,
+)
+SHOW_VARIABLES = re.compile(
+    r"\s*show\s+(?:session\s+|global\s+)?variables\s+like\s+'([a-z_]+)'\s*;?\s*$", re.I
+)
+DATABASE_QUERY = re.compile(
+    r"\s*select\s+(database|schema|version|connection_id)\s*\(\s*\)\s*;?\s*$", re.I
+)
+ISOLATION = re.compile(r"(session\s+)?transaction\s+isolation\s+level\s+[a-z ]+$", re.I)
+
+
+class Kind(enum.Enum):
+    """What kind of handling a statement needs."""
+
+    READ = "read"
+    WRITE = "write"
+    BEGIN = "begin"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    SET = "set"
+    SHOW = "show"
+    USE = "use"
+
+
+class Statement(NamedTuple):
+    """A decided statement; `values` holds settings or the names asked for."""
+
+    kind: Kind
+    values: tuple = ()
+
+
+def _refuse(message):
+    return DfwError(errors.STATEMENT_REFUSED, message)
+
+
+class StatementCache:
+    """Decisions by shape, the least recently used dropped first."""
+
+    def __init__(self):
+        self.decisions = OrderedDict()
+
+
+def decide(cache, sql, workspace):
+    """Return the Statement for `sql`, or raise DfwError if it is refused."""
+    simple = _decide_simple(sql)
+    if simple is not None:
+        return simple
+    key = (workspace, _shape(sql))
+    decision = cache.decisions.get(key)
+    if decision is None:
+        decision = _decide_parsed(sql, workspace)
+        cache.decisions[key] = decision
+        if len(cache.decisions) > CACHE_SIZE:
+            cache.decisions.popitem(last=False)
+    else:
+        cache.decisions.move_to_end(key)
+    if isinstance(decision, DfwError):
+        raise DfwError(decision.code, decision.message)
+    return decision
+
+
+def _decide_simple(sql):
+    head = sql.lstrip()[:8].lower()
+    if head.startswith("set"):
+        found = SET_STATEMENT.match(sql)
+        return _decide_set(found.group(1)) if found else None
+    if head.startswith(("select", "show")):
+        for pattern in (VARIABLE_QUERY, DATABASE_QUERY, SHOW_VARIABLES):
+            found = pattern.match(sql)
+            if found:
+                kind = "row" if pattern is SHOW_VARIABLES else "value"
+                return Statement(Kind.SHOW, (kind, found.group(1).lower()))
+    return None
+
+
+def _decide_set(body):
+    if ISOLATION.match(body):
+        return Statement(Kind.SET, ())
+    settings = []
+    end = 0
+    while end < len(body):
+        found = SET_ITEM.match(body, end)
+        if not found:
+            raise _refuse("SET of this form would change shared session state")
+        name = found.group(1).lower()
+        value = found.group(2)
+        if value[0] in "'\"":
+            value = value[1:-1]
+        _check_setting(name)
+        settings.append((name, value))
+        rest = re.compile(r"\s*(collate\s+[a-z0-9_']+\s*)?(,\s*|$)", re.I).match(
+            body, found.end()
+        )
+        if not rest:
+            raise _refuse("SET of this form would change shared session state")
+        end = rest.end()
+    return Statement(Kind.SET, tuple(settings))
+
+
+def _check_setting(name):
+    allowed = name == "autocommit" or name in IGNORED_SETTINGS
+    if not allowed and not name.startswith("@" + RESERVED_PREFIX):
+        raise _refuse(f"SET {name} would change shared session state")
+
+
+def _shape(sql):
+    try:
+        tokens = sqlglot.tokenize(sql, read="mysql")
+    except SqlglotError as exc:
+        raise DfwError(errors.SYNTAX, f"syntax error: {exc}") from None
+    if "/*" in sql:
+        _check_comments(tokens, sql)
+    return tuple(
+        [
+            token.token_type if token.token_type in LITERALS else token.text
+            for token in tokens
+        ]
+    )
+
+
+def _check_comments(tokens, sql):
+    """Refuse comments that a database would execute."""
+    comments = [comment for token in tokens for comment in token.comments]
+    if not tokens or any(text.lstrip()[:1] in "!M+" for text in comments):
+        raise _refuse("comments that a database executes are refused")
+    literals = "".join(t.text for t in tokens if t.token_type is TokenType.STRING)
+    if "/*!" in sql and "/*!" not in literals:
+        raise _refuse("comments that a database executes are refused")
+
+
+def _decide_parsed(sql, workspace):
+    if sql.lstrip()[:8].lower() == "replace ":
+        # The parser has no tree for REPLACE, whose syntax is that of INSERT.
+        sql = "INSERT" + sql.lstrip()[7:]
+    try:
+        trees = sqlglot.parse(sql, read="mysql")
+    except (SqlglotError, RecursionError) as exc:
+        line = str(exc).split("\n")[0]
+        return DfwError(errors.SYNTAX, f"syntax error: {line}")
+    trees = [tree for tree in trees if tree is not None]
+    if len(trees) != 1:
+        return DfwError(errors.STATEMENT_REFUSED, "expected exactly one statement")
+    try:
+        return _decide_tree(trees[0], workspace)
+    except DfwError as exc:
+        return exc
+
+
+def _decide_tree(tree, workspace):
+    if isinstance(tree, exp.Transaction):
+        return Statement(Kind.BEGIN)
+    if isinstance(tree, exp.Commit):
+        return Statement(Kind.COMMIT)
+    if isinstance(tree, exp.Rollback):
+        if tree.args.get("savepoint"):
+            raise _refuse("savepoints are not supported")
+        return Statement(Kind.ROLLBACK)
+    if isinstance(tree, exp.Use):
+        return _decide_use(tree, workspace)
+    _check_names(tree, workspace)
+    if isinstance(tree, WRITES):
+        return Statement(Kind.WRITE)
+    if isinstance(tree, TABLE_CHANGES):
+        if tree.args.get("kind", "").upper() not in TABLE_KINDS:
+            raise _refuse("only tables and indexes can be created or changed")
+        return Statement(Kind.WRITE)
+    if isinstance(tree, READS):
+        locks = any(node.args.get("locks") for node in tree.find_all(exp.Query))
+        into = any(node.args.get("into") for node in tree.find_all(exp.Select))
+        if into:
+            raise _refuse("SELECT INTO is refused")
+        return Statement(Kind.WRITE if locks else Kind.READ)
+    raise _refuse(f"{type(tree).__name__.upper()} statements are refused")
+
+
+def _decide_use(tree, workspace):
+    if tree.this.name != workspace:
+        raise DfwError(
+            errors.OTHER_WORKSPACE, f"no access to schema {tree.this.name!r}"
+        )
+    return Statement(Kind.USE)
+
+
+def _check_names(tree, workspace):
+    for table in tree.find_all(exp.Table):
+        schema = table.args.get("db")
+        if table.args.get("catalog") or (schema and schema.name != workspace):
+            raise DfwError(
+                errors.OTHER_WORKSPACE,
+                f"no access to schema {schema.name if schema else ''!r}",
+            )
+        if table.name.lower().startswith(RESERVED_PREFIX):
+            raise _refuse(f"table names starting with {RESERVED_PREFIX} are reserved")
+    for column in tree.find_all(exp.Column):
+        schema = column.args.get("db")
+        if schema and schema.name != workspace:
+            raise DfwError(
+                errors.OTHER_WORKSPACE, f"no access to schema {schema.name!r}"
+            )
+    for node in tree.find_all(exp.Parameter, exp.SessionParameter, exp.Command):
+        raise _refuse(f"{type(node).__name__} would use shared session state")
+    for node in tree.find_all(exp.Func):
+        name = node.name if isinstance(node, exp.Anonymous) else node.sql_name()
+        if _is_denied(name.lower()):
+            raise _refuse(f"function {name} is refused")
+
+
+def _is_denied(name):
+    return name in DENIED_FUNCTIONS or name.startswith(RESERVED_PREFIX)
--- /dev/null
+++ b/dragonflywing/entry.py
@@ -0,0 +1,283 @@
+"""The entry daemon: all tasks of one instance under one supervisor."""
+
+import asyncio
+import json
+import signal
+import ssl
+import struct
+
+from dragonflywing import errors, identity, logs, tenure
+from dragonflywing.callers import CallerSession
+from dragonflywing.decisions import retries, shares, versions
+from dragonflywing.decisions.statements import StatementCache
+from dragonflywing.errors import DfwError, UserError
+from dragonflywing.fleet import Fleet
+from dragonflywing.group import GroupTask
+from dragonflywing.limiter import Limiter
+from dragonflywing.metrics import Metrics
+from dragonflywing.peers import PeerServer, idl
+from dragonflywing.store import Store
+from dragonflywing.wire import WireServer
+
+SWEEP_S = 0.2
+# Time for callers to read the last answer and close, after a shutdown.
+LINGER_S = 1.0
+
+
+class Entry:
+    """The state of one entry instance that its tasks share."""
+
+    def __init__(self, cfg):
+        self.cfg = cfg
+        self.metrics = Metrics(cfg.statsd)
+        self.versions = versions.VersionState()
+        self.statements = StatementCache()
+        self.retry_budget = retries.RetryBudget()
+        self.groups = {}
+        self.group_tasks = {}
+        self.store = Store(cfg.store, self.metrics)
+        self.fleet = Fleet(cfg, self.versions, self.metrics, self.adopt)
+        self.limiter = Limiter(cfg, self.fleet, self.metrics)
+        self.slot = tenure.SlotKeeper(
+            cfg, self.store, self.limiter, self.versions, self.metrics
+        )
+        self.peers = PeerServer(cfg.peer_secret, self.fleet, self.metrics)
+        self.callers = WireServer(
+            lambda: CallerSession(self),
+            identity.Identity(self.versions, self.metrics),
+            cfg.max_callers,
+            max_packet=cfg.max_statement_bytes,
+            ssl=_tls_context(cfg.tls),
+            handshake_s=cfg.times.handshake_s,
+            on_error=self.count_error,
+        )
+        self.draining = asyncio.Event()
+        self._supervisor = None
+        self._connect_fleet()
+
+    def _connect_fleet(self):
+        self.fleet.spare = lambda: shares.spare(
+            self.limiter.state, asyncio.get_running_loop().time()
+        )
+        self.fleet.suspects_group = self._suspects
+        self.fleet.lend = self._lend
+        self.fleet.report_json = self.report_json
+
+    def _suspects(self, group, term):
+        task = self.groups.get(group)
+        return task is not None and task.term <= term and task.suspects()
+
+    def _lend(self, request):
+        answer = self.limiter.lend(
+            shares.BorrowRequest(request.loan_id, request.workspace, request.share)
+        )
+        return idl.LoanAnswer(**answer._asdict())
+
+    def count_error(self, exc):
+        """Count an error that a caller was answered."""
+        self.metrics.count(f"refused.{exc.code.reason}")
+        self.metrics.count(f"verdict.{exc.verdict.value}")
+
+    # Configuration
+
+    def adopt(self, cfg):
+        """Put a new configuration in force."""
+        self.limiter.configure(cfg)
+        for name in [name for name in self.groups if name not in cfg.groups]:
+            self._stop_group(name)
+        for name, spec in cfg.groups.items():
+            self._adopt_group(name, spec, cfg)
+        for conn in list(self.callers.connections):
+            self._check_key(conn, cfg)
+
+    def _adopt_group(self, name, spec, cfg):
+        task = self.groups.get(name)
+        if task is not None and _same_databases(task.spec, spec):
+            task.spec = spec
+            for database, item in spec.databases.items():
+                task.backends[database].leaving = item.leaving
+            return
+        if task is not None:
+            self._stop_group(name)
+        budget = max(1, spec.connections // cfg.fleet_size)
+        group = GroupTask(
+            name, spec, budget, self.cfg, self.store, self.metrics, self.fleet
+        )
+        self.groups[name] = group
+        self.group_tasks[name] = self._supervisor.create_task(group.run())
+
+    def _stop_group(self, name):
+        del self.groups[name]
+        self.group_tasks.pop(name).cancel()
+
+    def _check_key(self, conn, cfg):
+        """End a connection whose key was withdrawn, unless it is in a statement."""
+        if conn.session.username is None:
+            return
+        workspace, key_id = conn.session.caller()
+        if workspace is None or identity.is_valid(cfg, workspace, key_id):
+            return
+        self.metrics.count("caller.key_withdrawn")
+        logs.event("key_withdrawn", workspace=workspace, key_id=key_id)
+        if not conn.session.busy:
+            code = errors.KEY_WITHDRAWN
+            self._say_goodbye(conn, DfwError(code, "the key was withdrawn"))
+            conn.task.cancel()
+
+    # Shutdown
+
+    @staticmethod
+    def _say_goodbye(conn, exc):
+        """Answer the caller's next command in advance, so that it is not lost."""
+        packet = conn.make_error(exc)
+        header = struct.pack("<I", len(packet) | 1 << 24)
+        conn.stream.writer.write(header + packet)
+
+    async def _drain(self):
+        """Finish running requests, then end all connections."""
+        self.fleet.leaving = True
+        self.callers.stop_listening()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.cfg.times.drain_s
+        said = set()
+        while loop.time() < end:
+            open_conns = self.callers.connections
+            for conn in list(open_conns - said):
+                if self._is_idle(conn):
+                    said.add(conn)
+                    self._say_goodbye(
+                        conn,
+                        DfwError(errors.SHUTTING_DOWN, "instance is shutting down"),
+                    )
+                    if conn.stream.writer.can_write_eof():
+                        conn.stream.writer.write_eof()
+            if not open_conns - said:
+                break
+            await asyncio.sleep(0.01)
+        await self.slot.hand_over()
+        end = min(end, loop.time() + LINGER_S)
+        while self.callers.connections and loop.time() < end:
+            await asyncio.sleep(0.01)
+        logs.event("drained", left=len(self.callers.connections))
+
+    @staticmethod
+    def _is_idle(conn):
+        session = conn.session
+        unread = len(conn.stream.reader._buffer)
+        return not session.busy and not session.in_transaction() and not unread
+
+    # Tasks
+
+    async def _sweep(self):
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = asyncio.get_running_loop().time()
+            for conn in list(self.callers.connections):
+                await conn.session.abort_idle(now, self.cfg.times.transaction_idle_s)
+
+    async def run(self):
+        """Serve until the supervisor is cancelled or told to drain."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.draining.set)
+        await self.store.open()
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                self._supervisor = tasks
+                await self._start(tasks)
+                await self.draining.wait()
+                await self._drain()
+                raise Drained
+        except* Drained:
+            pass
+        finally:
+            self.callers.close_all()
+            self.peers.close()
+            self.fleet.close()
+            await self.store.close()
+            self.metrics.flush()
+
+    async def _start(self, tasks):
+        cfg = self.cfg
+        await self.peers.start(cfg.host, cfg.peer_port)
+        tasks.create_task(self.fleet.run())
+        tasks.create_task(tenure.watch_configuration(cfg, self.store, self.fleet))
+        tasks.create_task(tenure.keep_presence(cfg, self.store))
+        tasks.create_task(self.slot.run())
+        tasks.create_task(self.limiter.run())
+        tasks.create_task(self.metrics.report())
+        tasks.create_task(self._sweep())
+        await self.callers.start(cfg.host, cfg.port)
+        logs.event("started", instance=cfg.instance, port=cfg.port)
+
+    # Report
+
+    def report_json(self):
+        """Return the state of the instance for operators, as JSON."""
+        now = asyncio.get_running_loop().time()
+        return json.dumps(
+            {
+                "instance": self.cfg.instance,
+                "data_centre": self.cfg.data_centre,
+                "version": versions.version(self.versions),
+                "config_age_s": min(versions.age(self.versions, now), 1e9),
+                "slot": self.slot.slot,
+                "watcher": self.fleet.is_watcher(),
+                "callers": len(self.callers.connections),
+                "members": len(self.fleet.alive()) + 1,
+                "groups": {name: _group_report(g) for name, g in self.groups.items()},
+                "shares": {
+                    name: shares.refill_rate(self.limiter.state, now, name)
+                    for name in self.limiter.state.buckets
+                },
+                "counters": dict(self.metrics.counters),
+                "latency_ms": {
+                    name: [h.quantile(0.5) * 1000, h.quantile(0.99) * 1000]
+                    for name, h in self.metrics.histograms.items()
+                },
+            }
+        )
+
+
+class Drained(Exception):
+    """Ends the supervisor after a graceful shutdown."""
+
+
+def _group_report(group):
+    databases = {}
+    for name, backend in group.backends.items():
+        status = backend.status
+        databases[name] = {
+            "reachable": status is not None,
+            "leaving": backend.is_leaving(),
+            "term": status.term if status else 0,
+            "received": list(status.received) if status else None,
+            "applied": list(status.applied) if status else None,
+        }
+    return {"primary": group.primary, "term": group.term, "databases": databases}
+
+
+def _same_databases(old, new):
+    def plain(group):
+        return {
+            name: item._replace(leaving=False) for name, item in group.databases.items()
+        }
+
+    same_limits = (old.connections, old.slots) == (new.connections, new.slots)
+    return same_limits and plain(old) == plain(new)
+
+
+def _tls_context(tls):
+    if not tls.certificate:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    try:
+        context.load_cert_chain(tls.certificate, tls.key)
+    except (OSError, ssl.SSLError) as exc:
+        raise UserError(f"field tls: {exc}") from None
+    return context
+
+
+async def serve(cfg):
+    """Run one entry instance until SIGTERM."""
+    await Entry(cfg).run()
--- /dev/null
+++ b/dragonflywing/group.py
@@ -0,0 +1,496 @@
+"""One database group: its primary, fences, acknowledgements and promotions."""
+
+import asyncio
+import hashlib
+import itertools
+import json
+import random
+
+from dragonflywing import errors, logs
+from dragonflywing.backend import Backend
+from dragonflywing.decisions import acks, failover, fences, routing
+from dragonflywing.decisions.positions import ZERO, Status, majority
+from dragonflywing.errors import DfwError, StoreError, Verdict
+from dragonflywing.store import settle
+
+# How long a replica may hold back the answer to a position query.
+WAIT_SLICE_MS = 15
+TICK_S = 0.02
+PAUSE_S = 0.002
+# Instances try a promotion one after the other, this far apart.
+RANK_DELAY_S = 0.15
+RECORD_PREFIX = "/dfw/groups/"
+
+
+def rank(group, instance, instances):
+    """Return the place of an instance in the order of promoters of a group."""
+    order = sorted(
+        {instance, *instances},
+        key=lambda name: hashlib.sha256(f"{group}/{name}".encode()).digest(),
+    )
+    return order.index(instance)
+
+
+class GroupTask:
+    """The databases of a group and the decisions about them."""
+
+    def __init__(self, name, spec, budget, cfg, store, metrics, fleet):
+        self.name = name
+        self.spec = spec
+        self.cfg = cfg
+        self.store = store
+        self.metrics = metrics
+        self.fleet = fleet
+        self.backends = {
+            database: Backend(database, item, budget, cfg, metrics)
+            for database, item in spec.databases.items()
+        }
+        self.size = len(self.backends)
+        self.primary = None
+        self.term = 0
+        self.primary_seen = asyncio.Event()
+        self.fence_state = fences.FenceState(self.backends)
+        self.ack_state = acks.AckState(self.size)
+        self.ages = routing.AgeSamples()
+        self.suspicion = failover.SuspicionState(self._now())
+        self._ids = itertools.count(1)
+        self._waiters = {}
+        self._tasks = set()
+        self._readers = []
+        self._position_wanted = asyncio.Event()
+        self._promoting = False
+        self._claim_seen = None
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # Statuses
+
+    def note_status(self, status):
+        """Use a status that a database has just told."""
+        if status is None:
+            return
+        self._deliver(acks.report(self.ack_state, status))
+        self._wake_readers(status)
+        if status.primary and status.term >= self.term:
+            self._note_primary(status.database, status.term)
+            failover.see_primary(self.suspicion, self._now(), status)
+        highest = max(item.term for item in [status, *self._statuses()])
+        failover.see_term(self.suspicion, self._now(), highest)
+        stored = failover.stored_by_majority(self._statuses(), self.size)
+        if stored is not None:
+            failover.see_stored(self.suspicion, self._now(), stored)
+
+    def _statuses(self):
+        return [item.status for item in self.backends.values() if item.status]
+
+    def _note_primary(self, database, term):
+        if (database, term) != (self.primary, self.term):
+            logs.event("primary", group=self.name, database=database, term=term)
+            self.primary = database
+            self.term = term
+        self.primary_seen.set()
+
+    def forget_primary(self, database):
+        """Note that a database turned out not to be the primary."""
+        if self.primary == database:
+            self.primary = None
+            self.primary_seen.clear()
+
+    async def wait_primary(self, deadline):
+        """Return the primary's backend, waiting for one until the deadline."""
+        while self.primary is None:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self.primary_seen.wait()
+            except TimeoutError:
+                raise DfwError(
+                    errors.NO_PRIMARY, f"group {self.name!r} has no primary"
+                ) from None
+        return self.backends[self.primary]
+
+    # Fences
+
+    async def fence(self, deadline):
+        """Return the floor of a read that has no session token."""
+        now = self._now()
+        waiter, fut = self._new_waiter()
+        timeout_s = self.cfg.times.fence_s
+        self._act_fence(fences.ask(self.fence_state, now, waiter, timeout_s))
+        try:
+            async with asyncio.timeout_at(deadline):
+                message = await fut
+        except TimeoutError:
+            message = fences.Refused(waiter)
+        finally:
+            self._waiters.pop(waiter, None)
+        if isinstance(message, fences.Refused):
+            raise DfwError(
+                errors.NO_FENCE,
+                f"no majority of group {self.name!r} confirms a primary",
+            )
+        return message
+
+    def _new_waiter(self):
+        waiter = next(self._ids)
+        fut = asyncio.get_running_loop().create_future()
+        self._waiters[waiter] = fut
+        return waiter, fut
+
+    def _act_fence(self, messages):
+        for message in messages:
+            if isinstance(message, fences.Query):
+                self._spawn(self._query_fence(message))
+            else:
+                if isinstance(message, fences.Granted):
+                    self.ages.add(message.asked_at, message.position)
+                self._resolve(message)
+
+    async def _query_fence(self, query):
+        self.metrics.count("fence.query")
+        timeout_s = self.cfg.times.fence_s
+        backend = self.backends[query.database]
+        status = await backend.control("SELECT dfw_status()", timeout_s)
+        self.note_status(status)
+        self._act_fence(
+            fences.answer(
+                self.fence_state,
+                self._now(),
+                query.round_id,
+                query.database,
+                status,
+                timeout_s,
+            )
+        )
+
+    def _resolve(self, message):
+        fut = self._waiters.get(message.waiter)
+        if fut and not fut.done():
+            fut.set_result(message)
+
+    # Acknowledgements
+
+    async def ack(self, database, position, deadline):
+        """Return once a majority stores the write that `database` committed."""
+        limit = min(deadline, self._now() + self.cfg.times.ack_s)
+        waiter, fut = self._new_waiter()
+        own = Status(database, True, position.term, position, position, False, 0)
+        self._deliver(acks.report(self.ack_state, own))
+        self._deliver(acks.wait(self.ack_state, waiter, position, limit))
+        self._position_wanted.set()
+        try:
+            message = await fut
+        finally:
+            self._waiters.pop(waiter, None)
+            self.ack_state.pending.pop(waiter, None)
+        if isinstance(message, acks.Unconfirmed):
+            self.metrics.count(f"unconfirmed.{message.reason}")
+            raise DfwError(
+                errors.ACK_TIMEOUT,
+                f"no majority of group {self.name!r} confirmed the write",
+                Verdict.MAY_HAVE_RUN,
+            )
+
+    def _deliver(self, messages):
+        for message in messages:
+            self._resolve(message)
+
+    # Positions of replicas
+
+    def replicas(self):
+        """Return routing's view of the databases that are not the primary."""
+        return [
+            item.candidate()
+            for item in self.backends.values()
+            if item.name != self.primary
+        ]
+
+    async def wait_replica(self, floor, deadline):
+        """Return once a replica has reached the floor; False at the deadline."""
+        fut = asyncio.get_running_loop().create_future()
+        reader = (floor, fut)
+        self._readers.append(reader)
+        self._position_wanted.set()
+        try:
+            async with asyncio.timeout_at(deadline):
+                await fut
+            return True
+        except TimeoutError:
+            return False
+        finally:
+            self._readers.remove(reader)
+
+    def _wake_readers(self, status):
+        if status.database == self.primary or status.leaving:
+            return
+        for floor, fut in self._readers:
+            if floor <= status.applied and not fut.done():
+                fut.set_result(None)
+
+    def _next_wait(self, backend):
+        """Return the position query that a database should answer next, or None."""
+        wanted = acks.highest_pending(self.ack_state)
+        if wanted is not None:
+            known = self.ack_state.statuses.get(backend.name)
+            if not known or not acks.has_write(known, wanted):
+                return (
+                    f"SELECT dfw_wait({wanted.term}, {wanted.index}, {WAIT_SLICE_MS})"
+                )
+        if self._readers and not backend.is_leaving():
+            term, index = min(floor for floor, _ in self._readers)
+            return f"SELECT dfw_wait_applied({term}, {index}, {WAIT_SLICE_MS})"
+        return None
+
+    async def _pump_positions(self, backend):
+        """Ask one database for its position while writes or reads wait for it."""
+        while True:
+            await self._position_wanted.wait()
+            if not self.ack_state.pending and not self._readers:
+                self._position_wanted.clear()
+                continue
+            sql = None if backend.name == self.primary else self._next_wait(backend)
+            if sql is None:
+                await asyncio.sleep(PAUSE_S)
+                continue
+            timeout_s = self.cfg.times.probe_timeout_s
+            status = await backend.control(sql, timeout_s)
+            if status is None:
+                acks.forget_database(self.ack_state, backend.name)
+                await asyncio.sleep(TICK_S)
+            self.note_status(status)
+
+    async def _tick(self):
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._now()
+            self._deliver(acks.expire(self.ack_state, now))
+            self._act_fence(
+                fences.expire(self.fence_state, now, self.cfg.times.fence_s)
+            )
+
+    # Probes, suspicion and promotion
+
+    async def _probe(self, backend):
+        await asyncio.sleep(random.uniform(0, self.cfg.times.probe_s))
+        while True:
+            started = self._now()
+            status = await backend.control(
+                "SELECT dfw_status()", self.cfg.times.probe_timeout_s
+            )
+            if status is not None:
+                self.note_status(status)
+                await self._repair(backend, status)
+            elif backend.name == self.primary and self.suspects():
+                self.forget_primary(backend.name)
+            pause = self.cfg.times.probe_s - (self._now() - started)
+            await asyncio.sleep(max(0.01, pause))
+
+    async def _repair(self, backend, status):
+        """Tell a database that missed a promotion whom to follow."""
+        if self.primary is None or backend.name == self.primary:
+            return
+        if status.term < self.term:
+            sql = f"SELECT dfw_follow({self.term}, '{self.primary}')"
+            await backend.control(sql, self.cfg.times.probe_timeout_s)
+            self.metrics.count("repair.follow")
+        elif status.term == self.term and status.received < self._floor_of_repair():
+            # Accepted the term, but was never told the primary.
+            sql = f"SELECT dfw_follow({self.term}, '{self.primary}')"
+            await backend.control(sql, self.cfg.times.probe_timeout_s)
+
+    def _floor_of_repair(self):
+        status = self.backends[self.primary].status
+        return status.received if status else ZERO
+
+    def suspects(self):
+        """Return whether this instance wants another primary."""
+        backend = self.backends.get(self.primary)
+        if backend and backend.is_leaving() and self._can_replace():
+            return True
+        return failover.suspects(self.suspicion, self._now(), self.cfg.times.suspect_s)
+
+    def _can_replace(self):
+        """Return whether enough databases stay to replace one that leaves."""
+        staying = [
+            item
+            for item in self.backends.values()
+            if item.status and not item.is_leaving()
+        ]
+        return len(staying) >= failover.quorum_without_leaving(self.size)
+
+    async def _watch_primary(self):
+        while True:
+            await asyncio.sleep(self.cfg.times.probe_s / 2)
+            if not self.suspects() or self._promoting:
+                continue
+            term = self.term
+            place = rank(self.name, self.cfg.instance, self.fleet.instances())
+            await asyncio.sleep(min(place, 6) * RANK_DELAY_S * random.uniform(0.8, 1.2))
+            if not self.suspects() or self.term != term:
+                continue
+            if not self._reaches_majority() or not await self._is_confirmed():
+                self.metrics.count("promotion.not_confirmed")
+                continue
+            self._promoting = True
+            try:
+                await self._promote()
+            finally:
+                self._promoting = False
+
+    def _reaches_majority(self):
+        """Return whether a majority of databases has answered lately."""
+        oldest = self._now() - self.cfg.times.suspect_s
+        fresh = [
+            item
+            for item in self.backends.values()
+            if item.status and item.status_at >= oldest
+        ]
+        return len(fresh) >= majority(self.size)
+
+    async def _is_confirmed(self):
+        """Return whether a majority of the group's data centres suspect as well."""
+        places = {item.data_centre for item in self.spec.databases.values()}
+        places.add(self.cfg.data_centre)
+        suspecting = {self.cfg.data_centre}
+        suspecting |= await self.fleet.suspecting(self.name, self.term)
+        return len(suspecting & places) >= majority(len(places))
+
+    async def _promote(self):
+        try:
+            claim = await self._claim_term()
+        except StoreError as exc:
+            self.metrics.count("promotion.store_failed")
+            logs.warn("promotion_failed", group=self.name, error=str(exc))
+            return
+        if claim is None:
+            self.metrics.count("promotion.claim_lost")
+            return
+        logs.event("promotion_started", group=self.name, term=claim)
+        self.metrics.count("promotion.started")
+        state = failover.Promotion(
+            self.backends, claim, self._now(), self.cfg.times.promote_timeout_s
+        )
+        failover.start(state)
+        await self._run_promotion(state)
+
+    async def _claim_term(self):
+        """Write a new term to the group's record; return it, or None if raced."""
+        key = RECORD_PREFIX + self.name
+        entry = await self.store.get(key)
+        record = json.loads(entry.value) if entry else {"term": 0}
+        if record["term"] > self.term and self._is_recent(record):
+            # Another promoter is at work or done; a dead one is overtaken later.
+            return None
+        known = max([self.term, *[status.term for status in self._statuses()]])
+        term = max(record["term"], known) + 1
+        mark = f"{self.cfg.instance}/{random.getrandbits(64):x}"
+        value = json.dumps({"term": term, "state": "electing", "id": mark})
+        revision = entry.mod_revision if entry else 0
+
+        async def check():
+            now = await self.store.get(key)
+            return bool(now) and json.loads(now.value).get("id") == mark
+
+        won = await settle(
+            lambda: self.store.swap(key, value, revision), check, attempts=2
+        )
+        return term if won else None
+
+    def _is_recent(self, record):
+        """Return whether a record was first seen less than a promotion ago."""
+        now = self._now()
+        seen = self._claim_seen
+        if seen is None or seen[0] != record["term"]:
+            self._claim_seen = (record["term"], now)
+            return True
+        return now - seen[1] < self.cfg.times.promote_timeout_s
+
+    async def _run_promotion(self, state):
+        loop = asyncio.get_running_loop()
+        inbox = asyncio.Queue()
+        steps = failover.claimed(state, True)
+        loop.call_at(state.deadline, inbox.put_nowait, ("expire", None, None))
+        while True:
+            for step in steps:
+                if isinstance(step, failover.Finished):
+                    self._finish_promotion(state, step)
+                    return
+                self._spawn(self._run_step(step, inbox))
+            kind, database, answer = await inbox.get()
+            if kind == "accept":
+                steps = failover.accepted(state, database, answer)
+            elif kind == "promote":
+                steps = failover.promoted(state, answer)
+            elif kind == "record":
+                steps = failover.recorded(state)
+            else:
+                steps = failover.expire(state, self._now())
+
+    async def _run_step(self, step, inbox):
+        timeout_s = self.cfg.times.promote_timeout_s
+        if isinstance(step, failover.AcceptTerm):
+            status = await self._tell(
+                step.database, f"SELECT dfw_accept_term({step.term})", timeout_s
+            )
+            if status and self.backends[step.database].is_leaving():
+                status = status._replace(leaving=True)
+            inbox.put_nowait(("accept", step.database, status))
+        elif isinstance(step, failover.Promote):
+            status = await self._tell(
+                step.database, f"SELECT dfw_promote({step.term})", timeout_s
+            )
+            done = bool(status and status.primary and status.term == step.term)
+            if done:
+                self.note_status(status)
+            inbox.put_nowait(("promote", step.database, done))
+        elif isinstance(step, failover.Follow):
+            sql = f"SELECT dfw_follow({step.term}, '{step.primary}')"
+            await self._tell(step.database, sql, timeout_s)
+        elif isinstance(step, failover.Record):
+            await self._record(step)
+            inbox.put_nowait(("record", None, None))
+
+    async def _tell(self, database, sql, timeout_s):
+        return await self.backends[database].control(sql, timeout_s)
+
+    async def _record(self, step):
+        key = RECORD_PREFIX + self.name
+        try:
+            entry = await self.store.get(key)
+            if entry and json.loads(entry.value)["term"] == step.term:
+                record = {"term": step.term, "primary": step.primary, "state": "active"}
+                await self.store.swap(key, json.dumps(record), entry.mod_revision)
+        except StoreError:
+            self.metrics.count("promotion.record_failed")
+
+    def _finish_promotion(self, state, step):
+        logs.event(
+            "promotion_finished",
+            group=self.name,
+            term=state.term,
+            primary=step.primary,
+            reason=step.reason,
+        )
+        self.metrics.count(f"promotion.{step.reason}")
+
+    async def run(self):
+        """Serve the group until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._tick())
+                tasks.create_task(self._watch_primary())
+                for backend in self.backends.values():
+                    tasks.create_task(backend.expire())
+                    tasks.create_task(self._probe(backend))
+                    tasks.create_task(self._pump_positions(backend))
+        finally:
+            for task in list(self._tasks):
+                task.cancel()
+            for backend in self.backends.values():
+                backend.close()
--- /dev/null
+++ b/dragonflywing/limiter.py
@@ -0,0 +1,127 @@
+"""Admits requests by their workspace's rate and burst across the fleet."""
+
+import asyncio
+import itertools
+from collections import deque
+
+from dragonflywing import errors
+from dragonflywing.decisions import shares
+from dragonflywing.errors import DfwError
+
+TICK_S = 0.01
+LOAN_PERIOD_S = 0.1
+# Peers asked for one workspace's shares at a time.
+LENDERS_ASKED = 4
+
+
+class Limiter:
+    """The buckets of this instance and the requests that wait for them."""
+
+    def __init__(self, cfg, fleet, metrics):
+        self.cfg = cfg
+        self.fleet = fleet
+        self.metrics = metrics
+        self.state = shares.ShareState(slots=1)
+        self._queues = {}
+        self._ids = itertools.count(1)
+        self._tasks = set()
+        self._asking = set()
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+    def configure(self, cfg):
+        """Take rates and bursts from a configuration."""
+        self.state.slots = cfg.fleet_size
+        limits = {
+            name: (item.rate, item.burst) for name, item in cfg.workspaces.items()
+        }
+        shares.configure(self.state, self._now(), limits)
+
+    async def admit(self, workspace):
+        """Return once the workspace may run one statement; refuse if not soon."""
+        now = self._now()
+        shares.arrive(self.state, now, workspace)
+        queue = self._queues.setdefault(workspace, deque())
+        if not queue and shares.admit(self.state, now, workspace):
+            return
+        self.metrics.count("rate.waited")
+        fut = asyncio.get_running_loop().create_future()
+        queue.append((fut, now + self.cfg.times.rate_wait_s))
+        if not await fut:
+            raise DfwError(
+                errors.RATE_EXCEEDED, f"workspace {workspace!r} is over its rate"
+            )
+
+    def _serve_queue(self, now, workspace, queue):
+        while queue:
+            fut, deadline = queue[0]
+            if fut.done():
+                queue.popleft()
+            elif deadline <= now:
+                queue.popleft()
+                fut.set_result(False)
+            elif workspace in self.state.buckets and shares.admit(
+                self.state, now, workspace
+            ):
+                queue.popleft()
+                fut.set_result(True)
+            else:
+                return
+
+    async def run(self):
+        """Serve waiting requests and move shares until cancelled."""
+        next_loans = self._now()
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._now()
+            for workspace, queue in self._queues.items():
+                self._serve_queue(now, workspace, queue)
+            shares.measure_demand(self.state, now)
+            if now >= next_loans:
+                next_loans = now + LOAN_PERIOD_S
+                self._move_shares(now)
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _move_shares(self, now):
+        for request in shares.loans_to_extend(self.state, now):
+            lender = request.loan_id.split("/")[0]
+            self._ask(lender, request)
+        for workspace, missing in shares.wanted(self.state, now).items():
+            lenders = self.fleet.lenders(workspace)[:LENDERS_ASKED]
+            for lender, offered in lenders:
+                if missing < shares.LEAST_LOAN:
+                    break
+                part = min(missing, offered)
+                loan_id = f"{lender}/{self.cfg.instance}/{next(self._ids)}/{now:.3f}"
+                self._ask(lender, shares.BorrowRequest(loan_id, workspace, part))
+                missing -= part
+
+    def _ask(self, lender, request):
+        # One question at a time to each lender for each workspace.
+        key = (lender, request.workspace)
+        if key in self._asking:
+            return
+        self._asking.add(key)
+        self._spawn(self._borrow(lender, request, key))
+
+    async def _borrow(self, lender, request, key):
+        asked_at = self._now()
+        try:
+            answer = await self.fleet.borrow(lender, request)
+        finally:
+            self._asking.discard(key)
+        if answer is None:
+            self.metrics.count("shares.unanswered")
+            return
+        shares.borrow(self.state, self._now(), answer, asked_at)
+        self.fleet.note_lent(lender, request.workspace, answer.share)
+        self.metrics.count("shares.borrowed" if answer.share else "shares.declined")
+
+    def lend(self, request):
+        """Answer a peer that wants to borrow."""
+        return shares.lend(self.state, self._now(), request)
--- /dev/null
+++ b/dragonflywing/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiments and history checks against real processes."""
--- /dev/null
+++ b/dragonflywing/standin/store.py
@@ -0,0 +1,255 @@
+"""A stand-in for the platform's store: a subset of etcd's JSON gateway."""
+
+import asyncio
+import base64
+import json
+from collections import Counter, deque
+
+from aiohttp import web
+
+EXPIRY_INTERVAL_S = 0.05
+PROGRESS_INTERVAL_S = 1.0
+WATCH_CHUNK = "result"
+
+
+def _b64(data):
+    return base64.b64encode(data).decode()
+
+
+def _raw(text):
+    return base64.b64decode(text)
+
+
+class StoreState:
+    """Keys, leases, watches and the fault in force."""
+
+    def __init__(self):
+        self.revision = 1
+        self.values = {}
+        self.leases = {}
+        self.lease_keys = {}
+        self.next_lease = 100
+        self.history = deque(maxlen=20000)
+        self.changed = asyncio.Event()
+        self.calls = Counter()
+        self.watching = 0
+        self.mode = "ok"
+        self.delay_s = 0.0
+
+
+def _kv(state, key):
+    value, revision, lease = state.values[key]
+    return {
+        "key": _b64(key),
+        "value": _b64(value),
+        "mod_revision": str(revision),
+        "lease": str(lease),
+    }
+
+
+def _notify(state, kind, kv):
+    state.history.append((state.revision, kind, _raw(kv["key"]), kv))
+    state.changed.set()
+    state.changed = asyncio.Event()
+
+
+def _put(state, body):
+    key = _raw(body["key"])
+    lease = int(body.get("lease", 0) or 0)
+    if lease and lease not in state.leases:
+        raise web.HTTPNotFound(text="lease not found")
+    state.revision += 1
+    state.values[key] = (_raw(body.get("value", "")), state.revision, lease)
+    if lease:
+        state.lease_keys.setdefault(lease, set()).add(key)
+    _notify(state, "PUT", _kv(state, key))
+
+
+def _delete(state, key):
+    if state.values.pop(key, None) is None:
+        return
+    state.revision += 1
+    kv = {"key": _b64(key), "mod_revision": str(state.revision)}
+    _notify(state, "DELETE", kv)
+
+
+def _header(state):
+    return {"revision": str(state.revision)}
+
+
+def _range(state, body):
+    key = _raw(body["key"])
+    end = _raw(body["range_end"]) if body.get("range_end") else None
+    if end is None:
+        keys = [key] if key in state.values else []
+    else:
+        keys = sorted(name for name in state.values if key <= name < end)
+    return {"header": _header(state), "kvs": [_kv(state, name) for name in keys]}
+
+
+def _holds(state, compare):
+    found = state.values.get(_raw(compare["key"]))
+    return (found[1] if found else 0) == int(compare.get("mod_revision", 0))
+
+
+def _txn(state, body):
+    succeeded = all(_holds(state, item) for item in body.get("compare", []))
+    for operation in body.get("success" if succeeded else "failure", []):
+        if "request_put" in operation:
+            _put(state, operation["request_put"])
+        elif "request_delete_range" in operation:
+            _delete(state, _raw(operation["request_delete_range"]["key"]))
+    return {"header": _header(state), "succeeded": succeeded}
+
+
+def _put_answer(state, body):
+    _put(state, body)
+    return {"header": _header(state)}
+
+
+def _grant(state, body):
+    state.next_lease += 1
+    seconds = float(body["TTL"])
+    now = asyncio.get_running_loop().time()
+    state.leases[state.next_lease] = (seconds, now + seconds)
+    return {"ID": str(state.next_lease), "TTL": str(seconds)}
+
+
+def _keepalive(state, body):
+    lease = int(body["ID"])
+    if lease not in state.leases:
+        return {"result": {"ID": body["ID"], "TTL": "0"}}
+    seconds = state.leases[lease][0]
+    now = asyncio.get_running_loop().time()
+    state.leases[lease] = (seconds, now + seconds)
+    return {"result": {"ID": body["ID"], "TTL": str(max(1, round(seconds)))}}
+
+
+def _end_lease(state, lease):
+    state.leases.pop(lease, None)
+    for key in state.lease_keys.pop(lease, set()):
+        if key in state.values and state.values[key][2] == lease:
+            _delete(state, key)
+
+
+def _revoke(state, body):
+    _end_lease(state, int(body["ID"]))
+    return {"header": _header(state)}
+
+
+async def expire_leases(state):
+    """End leases whose time has passed, until cancelled."""
+    while True:
+        await asyncio.sleep(EXPIRY_INTERVAL_S)
+        if state.mode == "down":
+            # A store that restarts gives all leases their full time again.
+            continue
+        now = asyncio.get_running_loop().time()
+        for lease in [x for x, (_, end) in state.leases.items() if end < now]:
+            _end_lease(state, lease)
+
+
+def _handler(state, name, function):
+    async def handle(request):
+        state.calls[name] += 1
+        await _fault_before(state, request)
+        answer = function(state, await request.json())
+        if state.mode == "lose_answers" and name in ("put", "txn", "grant"):
+            request.transport.close()
+        return web.json_response(answer)
+
+    return handle
+
+
+async def _fault_before(state, request):
+    if state.mode == "down":
+        request.transport.close()
+        raise web.HTTPServiceUnavailable()
+    if state.mode == "freeze":
+        await asyncio.sleep(60)
+    if state.delay_s:
+        await asyncio.sleep(state.delay_s)
+
+
+def _watch_handler(state):
+    async def handle(request):
+        state.calls["watch"] += 1
+        await _fault_before(state, request)
+        body = (await request.json())["create_request"]
+        start, end = _raw(body["key"]), _raw(body["range_end"])
+        seen = int(body.get("start_revision", 0)) - 1
+        resp = web.StreamResponse()
+        await resp.prepare(request)
+        await _send_line(resp, {"created": True})
+        state.watching += 1
+        try:
+            while state.mode not in ("down", "freeze"):
+                changed = state.changed
+                events = _events_after(state, seen, start, end)
+                seen = state.revision
+                await _send_line(resp, {"header": _header(state), "events": events})
+                try:
+                    async with asyncio.timeout(PROGRESS_INTERVAL_S):
+                        await changed.wait()
+                except TimeoutError:
+                    pass
+            request.transport.close()
+        except ConnectionError:
+            pass
+        finally:
+            state.watching -= 1
+        return resp
+
+    return handle
+
+
+def _events_after(state, seen, start, end):
+    return [
+        {"type": kind, "kv": kv}
+        for revision, kind, key, kv in state.history
+        if revision > seen and start <= key < end
+    ]
+
+
+async def _send_line(resp, result):
+    await resp.write(json.dumps({WATCH_CHUNK: result}).encode() + b"\n")
+
+
+def _control_handler(state):
+    async def handle(request):
+        body = await request.json()
+        state.mode = body.get("mode", state.mode)
+        state.delay_s = float(body.get("delay_s", state.delay_s))
+        if state.mode == "ok":
+            now = asyncio.get_running_loop().time()
+            for lease, (seconds, _) in list(state.leases.items()):
+                state.leases[lease] = (seconds, now + seconds)
+        calls = dict(state.calls)
+        return web.json_response({"calls": calls, "watching": state.watching})
+
+    return handle
+
+
+async def serve(host, port):
+    """Serve the store until cancelled."""
+    state = StoreState()
+    app = web.Application(client_max_size=4 * 1024 * 1024)
+    calls = {
+        "/v3/kv/range": ("range", _range),
+        "/v3/kv/put": ("put", _put_answer),
+        "/v3/kv/txn": ("txn", _txn),
+        "/v3/lease/grant": ("grant", _grant),
+        "/v3/lease/keepalive": ("keepalive", _keepalive),
+        "/v3/lease/revoke": ("revoke", _revoke),
+    }
+    for path, (name, function) in calls.items():
+        app.router.add_post(path, _handler(state, name, function))
+    app.router.add_post("/v3/watch", _watch_handler(state))
+    app.router.add_post("/standin", _control_handler(state))
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.2)
+    await runner.setup()
+    await web.TCPSite(runner, host, port).start()
+    try:
+        await expire_leases(state)
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/dragonflywing/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The commands; the only package that prints."""
--- /dev/null
+++ b/dragonflywing/wire.py
@@ -0,0 +1,481 @@
+"""The server side of the MySQL protocol, on mysql-mimic.
+
+Adds what real clients need and the library lacks: affected rows, insert ids
+and transaction flags in answers, SQLSTATEs, parameters quoted so that no
+value can change the statement, a limit on the size of packets, and an end of
+the connection after failed authentication.
+"""
+
+import asyncio
+import io
+import struct
+from datetime import date, datetime, timedelta
+from typing import NamedTuple
+
+import sqlglot
+from mysql_mimic import packets
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.connection import Connection
+from mysql_mimic.control import LocalControl
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.prepared import PreparedStatement
+from mysql_mimic.results import ResultColumn, ResultSet
+from mysql_mimic.session import BaseSession
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.types import (
+    Capabilities,
+    ColumnType,
+    ComStmtExecuteFlags,
+    ServerStatus,
+    uint_len,
+)
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+from sqlglot.errors import SqlglotError
+from sqlglot.tokens import TokenType
+
+from dragonflywing import errors, logs
+from dragonflywing.errors import DfwError, Verdict
+
+MAX_PREPARED = 1024  # open prepared statements for each connection
+CAPABILITIES = (
+    Capabilities.CLIENT_PROTOCOL_41
+    | Capabilities.CLIENT_CONNECT_WITH_DB
+    | Capabilities.CLIENT_QUERY_ATTRIBUTES
+    | Capabilities.CLIENT_CONNECT_ATTRS
+    | Capabilities.CLIENT_PLUGIN_AUTH
+    | Capabilities.CLIENT_PLUGIN_AUTH_LENENC_CLIENT_DATA
+    | Capabilities.CLIENT_SECURE_CONNECTION
+    | Capabilities.CLIENT_LONG_PASSWORD
+    | Capabilities.CLIENT_TRANSACTIONS
+    | Capabilities.CLIENT_FOUND_ROWS
+)
+BLOB_TYPES = {
+    ColumnType.BLOB,
+    ColumnType.TINY_BLOB,
+    ColumnType.MEDIUM_BLOB,
+    ColumnType.LONG_BLOB,
+}
+INTEGER_TYPES = {
+    ColumnType.TINY,
+    ColumnType.SHORT,
+    ColumnType.LONG,
+    ColumnType.LONGLONG,
+    ColumnType.INT24,
+    ColumnType.YEAR,
+}
+GLOBAL_VARIABLES = GlobalVariables()
+
+
+class Column(NamedTuple):
+    """A column's name and its MySQL type code."""
+
+    name: str
+    type_code: int
+
+
+class Result(NamedTuple):
+    """An answer: rows with columns, or counts when there are no columns."""
+
+    columns: tuple = ()
+    rows: tuple = ()
+    affected_rows: int = 0
+    last_insert_id: int = 0
+    info: bytes = b""
+
+
+class LimitedReader(asyncio.StreamReader):
+    """A reader that refuses packets over a limit."""
+
+    max_packet = 16 * 1024 * 1024
+
+    async def readexactly(self, n):
+        if n > self.max_packet:
+            raise DfwError(errors.TOO_LARGE, f"packet of {n} bytes is too large")
+        return await super().readexactly(n)
+
+    async def read(self, n=-1):
+        # The library reads headers of 4 bytes here and expects all or none.
+        if n != 4:
+            return await super().read(n)
+        try:
+            return await super().readexactly(4)
+        except asyncio.IncompleteReadError:
+            return b""
+
+
+def _column(column, rows, index):
+    kind = ColumnType(column.type_code)
+    if kind is ColumnType.NULL:
+        kind = ColumnType.VARCHAR
+    if kind in BLOB_TYPES and any(isinstance(row[index], bytes) for row in rows):
+        return ResultColumn(column.name, kind, CharacterSet.binary)
+    return ResultColumn(column.name, kind)
+
+
+def _parse_time(text):
+    sign = -1 if text.startswith("-") else 1
+    hours, minutes, seconds = text.lstrip("-").split(":")
+    span = timedelta(hours=int(hours), minutes=int(minutes), seconds=float(seconds))
+    return sign * span
+
+
+def _typed(value, kind):
+    """Return a value of the text protocol as the binary encoder expects it."""
+    if value is None or not isinstance(value, str):
+        return value
+    if kind in INTEGER_TYPES:
+        return int(value)
+    if kind in (ColumnType.FLOAT, ColumnType.DOUBLE):
+        return float(value)
+    if kind is ColumnType.DATE:
+        return date.fromisoformat(value)
+    if kind in (ColumnType.DATETIME, ColumnType.TIMESTAMP):
+        return datetime.fromisoformat(value)
+    if kind is ColumnType.TIME:
+        return _parse_time(value)
+    return value
+
+
+def quote(value):
+    """Return a parameter as SQL text that can only be a literal."""
+    if value is None:
+        return "NULL"
+    if isinstance(value, bool):
+        return "1" if value else "0"
+    if isinstance(value, str):
+        # Parameters are read as latin1, which keeps every byte.
+        data = value.encode("latin1")
+        try:
+            text = data.decode("utf-8")
+        except UnicodeDecodeError:
+            return f"X'{data.hex()}'"
+        if "\x00" in text:
+            return f"X'{data.hex()}'"
+        return "'" + text.replace("\\", "\\\\").replace("'", "''") + "'"
+    if isinstance(value, (int, float)):
+        return repr(value)
+    return f"'{value}'"
+
+
+def split_placeholders(sql):
+    """Return the parts of a statement between its parameter markers."""
+    try:
+        tokens = sqlglot.tokenize(sql, read="mysql")
+    except SqlglotError as exc:
+        raise DfwError(errors.SYNTAX, f"syntax error: {exc}") from None
+    parts = []
+    start = 0
+    for token in tokens:
+        if token.token_type is TokenType.PLACEHOLDER:
+            parts.append(sql[start : token.start])
+            start = token.end + 1
+    return [*parts, sql[start:]]
+
+
+class WireSession(BaseSession):
+    """What a server does with one connection; subclasses override `execute`."""
+
+    def __init__(self):
+        self.variables = SessionVariables(GLOBAL_VARIABLES)
+        self.username = None
+        self.database = None
+        self.connection = None
+
+    async def init(self, connection):
+        self.connection = connection
+
+    async def execute(self, sql, attrs):
+        """Return the Result of a statement, or raise DfwError."""
+        raise NotImplementedError
+
+    def in_transaction(self):
+        """Return whether the session is inside a transaction."""
+        return False
+
+    def autocommit(self):
+        """Return whether each statement is its own transaction."""
+        return True
+
+
+class WireConnection(Connection):
+    """One connection of a caller."""
+
+    def __init__(self, *args, handshake_s=10.0, on_error=None, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.handshake_s = handshake_s
+        self.on_error = on_error
+        self.parts = {}
+
+    async def connection_phase(self):
+        try:
+            async with asyncio.timeout(self.handshake_s):
+                await super().connection_phase()
+        except TimeoutError:
+            raise MysqlError("handshake timed out") from None
+
+    async def authenticate(self, *args, **kwargs):
+        self.session.username = None
+        await super().authenticate(*args, **kwargs)
+        if self.session.username is None:
+            raise ConnectionClosed("authentication failed")
+
+    async def command_phase(self):
+        """Serve commands until the client leaves."""
+        while True:
+            data = await self._read_command()
+            if data is None or data[:1] == b"\x01":
+                return
+            self._set_status()
+            try:
+                await self._dispatch(data)
+            except DfwError as exc:
+                await self._answer_error(exc)
+            except MysqlError as exc:
+                code = errors.Code(int(exc.code), "HY000", "protocol")
+                await self._answer_error(DfwError(code, exc.msg))
+            except (struct.error, IndexError, ValueError, KeyError) as exc:
+                message = f"malformed packet: {type(exc).__name__}"
+                await self._answer_error(DfwError(errors.MALFORMED, message))
+            finally:
+                self.stream.reset_seq()
+
+    async def _read_command(self):
+        try:
+            return await self.stream.read()
+        except (ConnectionClosed, asyncio.IncompleteReadError, OSError):
+            return None
+        except DfwError as exc:
+            await self._answer_error(exc)
+            return None
+        except MysqlError as exc:
+            await self._answer_error(DfwError(errors.MALFORMED, exc.msg))
+            return None
+
+    async def _dispatch(self, data):
+        handler = {
+            0x02: self.handle_init_db,
+            0x03: self.handle_query,
+            0x0E: self.handle_ping,
+            0x11: self.handle_change_user,
+            0x16: self.handle_stmt_prepare,
+            0x17: self.handle_stmt_execute,
+            0x18: self.handle_stmt_send_long_data,
+            0x19: self.handle_stmt_close,
+            0x1A: self.handle_stmt_reset,
+            0x1F: self.handle_reset_connection,
+        }.get(data[0] if data else None)
+        if handler is None:
+            raise DfwError(errors.Code(1047, "08S01", "command"), "unsupported command")
+        await handler(data[1:])
+
+    async def _answer_error(self, exc):
+        if self.on_error:
+            self.on_error(exc)
+        await self.stream.write(self.make_error(exc))
+
+    def make_error(self, exc):
+        """Return the error packet with the exception's number and SQLSTATE."""
+        head = struct.pack("<BH", 0xFF, exc.code.errno)
+        state = b"#" + exc.code.sqlstate.encode()
+        return head + state + str(exc).encode("utf-8", "replace")
+
+    def _set_status(self):
+        flags = ServerStatus(0)
+        if self.session.in_transaction():
+            flags |= ServerStatus.SERVER_STATUS_IN_TRANS
+        if self.session.autocommit():
+            flags |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        self.status_flags = flags
+
+    async def handle_query(self, data):
+        if Capabilities.CLIENT_QUERY_ATTRIBUTES in self.capabilities:
+            query = packets.parse_com_query(
+                capabilities=self.capabilities,
+                client_charset=self.client_charset,
+                data=data,
+            )
+            sql, attrs = query.sql, query.query_attrs
+        else:
+            sql, attrs = data.decode("utf-8", "surrogateescape"), {}
+        result = await self.session.execute(sql, attrs)
+        self._set_status()
+        if not result.columns:
+            await self._write_ok(result)
+            return
+        columns = [
+            _column(column, result.rows, i) for i, column in enumerate(result.columns)
+        ]
+        await self.write_text_resultset(ResultSet(result.rows, columns))
+
+    async def _write_ok(self, result):
+        data = self.ok(
+            affected_rows=result.affected_rows, last_insert_id=result.last_insert_id
+        )
+        await self.stream.write(data + result.info)
+
+    async def handle_stmt_prepare(self, data):
+        if len(self.prepared_stmts) >= MAX_PREPARED:
+            raise DfwError(errors.STATEMENT_REFUSED, "too many prepared statements")
+        sql = data.decode("utf-8", "surrogateescape")
+        parts = split_placeholders(sql)
+        stmt = PreparedStatement(next(self.prepared_stmt_seq), sql, len(parts) - 1)
+        self.prepared_stmts[stmt.stmt_id] = stmt
+        self.parts[stmt.stmt_id] = parts
+        for packet in self.com_stmt_prepare_response(stmt):
+            await self.stream.write(packet, drain=False)
+        await self.stream.drain()
+
+    async def handle_stmt_close(self, data):
+        self.parts.pop(packets.parse_com_stmt_close(data).stmt_id, None)
+        await super().handle_stmt_close(data)
+
+    async def handle_stmt_reset(self, data):
+        stmt = self.get_stmt(packets.parse_com_stmt_reset(data).stmt_id)
+        stmt.param_buffers = None
+        await self.stream.write(self.ok())
+
+    async def handle_reset_connection(self, data):
+        await self.session.reset()
+        self.prepared_stmts.clear()
+        self.parts.clear()
+        self._set_status()
+        await self.stream.write(self.ok())
+
+    def _bind(self, data):
+        reader = io.BytesIO(data)
+        stmt = self.get_stmt(struct.unpack("<I", reader.read(4))[0])
+        flags = reader.read(1)[0]
+        reader.read(4)  # iteration count, always 1
+        attributes = Capabilities.CLIENT_QUERY_ATTRIBUTES in self.capabilities
+        counted = flags & ComStmtExecuteFlags.PARAMETER_COUNT_AVAILABLE
+        count = stmt.num_params
+        if attributes and (count or counted):
+            count = packets.read_uint_len(reader)
+        params = []
+        if count:
+            params = packets._read_params(
+                self.capabilities,
+                CharacterSet.latin1,
+                reader,
+                count,
+                stmt.param_buffers,
+            )
+        stmt.param_buffers = None
+        parts = self.parts[stmt.stmt_id]
+        pieces = [parts[0]]
+        for (_, value), part in zip(params, parts[1:], strict=False):
+            pieces += [quote(value), part]
+        attrs = {name: value for name, value in params[stmt.num_params :] if name}
+        return "".join(pieces), attrs
+
+    async def handle_stmt_execute(self, data):
+        sql, attrs = self._bind(data)
+        result = await self.session.execute(sql, attrs)
+        self._set_status()
+        if not result.columns:
+            await self._write_ok(result)
+            return
+        columns = [
+            _column(column, result.rows, i) for i, column in enumerate(result.columns)
+        ]
+        await self.stream.write(uint_len(len(columns)), drain=False)
+        for column in columns:
+            definition = packets.make_column_definition_41(
+                server_charset=self.server_charset,
+                name=column.name,
+                column_type=column.type,
+                character_set=column.character_set,
+            )
+            await self.stream.write(definition, drain=False)
+        await self.stream.write(self.eof(), drain=False)
+        for row in result.rows:
+            typed = [_typed(v, c.type) for v, c in zip(row, columns, strict=True)]
+            packet = packets.make_binary_resultrow(typed, columns)
+            await self.stream.write(packet, drain=False)
+        await self.stream.write(self.ok_or_eof())
+
+
+class WireServer:
+    """Accepts connections; `make_session` returns a WireSession for each."""
+
+    def __init__(self, make_session, identity, max_callers, **options):
+        self.make_session = make_session
+        self.identity = identity
+        self.max_callers = max_callers
+        self.max_packet = options.pop("max_packet", LimitedReader.max_packet)
+        self.ssl = options.pop("ssl", None)
+        self.options = options
+        self.control = LocalControl()
+        self.connections = set()
+        self._server = None
+
+    async def start(self, host, port):
+        """Listen for connections."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_protocol, host, port, backlog=1024, reuse_address=True
+        )
+
+    def _make_protocol(self):
+        reader = LimitedReader()
+        reader.max_packet = self.max_packet
+        return asyncio.StreamReaderProtocol(reader, self._serve)
+
+    async def _serve(self, reader, writer):
+        session = self.make_session()
+        conn = WireConnection(
+            stream=MysqlStream(reader, writer),
+            session=session,
+            control=self.control,
+            identity_provider=self.identity,
+            server_capabilities=CAPABILITIES,
+            ssl=self.ssl,
+            **self.options,
+        )
+        conn.task = asyncio.current_task()
+        if len(self.connections) >= self.max_callers:
+            code = errors.Code(1040, "08004", "too_many_connections")
+            await conn.stream.write(
+                conn.make_error(DfwError(code, "too many connections"))
+            )
+            writer.close()
+            return
+        conn.connection_id = await self.control.add(conn)
+        self.connections.add(conn)
+        try:
+            await conn.connection_phase()
+            await session.init(conn)
+            await conn.command_phase()
+        except (ConnectionClosed, MysqlError, OSError, asyncio.IncompleteReadError):
+            pass
+        except (struct.error, IndexError, ValueError, AssertionError, DfwError) as exc:
+            logs.event("malformed_handshake", error=type(exc).__name__)
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self.connections.discard(conn)
+            await self.control.remove(conn.connection_id)
+            await self._close_session(session)
+            writer.close()
+
+    @staticmethod
+    async def _close_session(session):
+        try:
+            await session.close()
+        except DfwError:
+            pass
+
+    def stop_listening(self):
+        """Accept no further connections."""
+        if self._server:
+            self._server.close()
+
+    def close_all(self):
+        """End all connections."""
+        for conn in list(self.connections):
+            conn.task.cancel()
+
+
+def unclear(code, message):
+    """Return an error for a statement that may have run."""
+    return DfwError(code, message, Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/test/helper.py
@@ -0,0 +1,61 @@
+"""What tests share: a small deployment of real processes, clients and a clock."""
+
+import asyncio
+import contextlib
+
+import aiomysql
+import uvloop
+
+from dragonflywing.load.deployment import Deployment, Plan, key_of
+
+SMALL = Plan(
+    name="small",
+    data_centres=("duluth-a", "buffalo-a", "sault-a"),
+    between_s=0.001,
+    groups=("orders",),
+    connections=16,
+    workspaces={
+        "press": ("orders", 4000.0, 4000.0),
+        "harbor": ("orders", 200.0, 100.0),
+    },
+    instances=3,
+)
+
+
+def run(coroutine):
+    """Run a test's coroutine on uvloop."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(coroutine)
+
+
+@contextlib.asynccontextmanager
+async def deployed(plan=SMALL, **options):
+    """Start a deployment; check at the end that its processes ended cleanly."""
+    deployment = Deployment(plan, **options)
+    try:
+        await deployment.start()
+        yield deployment
+    finally:
+        unclean = await deployment.stop()
+    assert unclean == []
+
+
+async def connect(deployment, entry, workspace="press", **options):
+    """Return a client's connection to an entry instance."""
+    options = {"autocommit": True, "password": key_of(workspace), **options}
+    return await aiomysql.connect(
+        host="127.0.0.1",
+        port=deployment.entries[entry][0],
+        user=workspace,
+        db=options.pop("db", workspace),
+        **options,
+    )
+
+
+async def query(conn, sql, args=None):
+    """Run a statement; return its rows, or the number of affected rows."""
+    async with conn.cursor() as cursor:
+        await cursor.execute(sql, args)
+        if cursor.description is None:
+            return cursor.rowcount
+        return list(await cursor.fetchall())
