--- /dev/null
+++ b/dragonflywing/ui/load.py
@@ -0,0 +1,36 @@
+"""The dfw-load command: demonstration, load, experiments and reports."""
+
+import sys
+
+from dragonflywing.load import runs
+from dragonflywing.load.deployment import plan_named
+from dragonflywing.ui import command
+
+DEMO_S = 15.0
+
+
+class Load:
+    """Load and experiments against real processes on this machine.
+
+    Example: dfw-load demo --deployment huron
+    """
+
+    def demo(self, deployment="huron"):
+        """Run a deployment in small, kill a primary halfway, check the history.
+
+        Example: dfw-load demo --deployment litoral
+        """
+        plan = plan_named(deployment)
+        result = command.run(runs.run(plan, DEMO_S, runs.kill_primary))
+        found = runs.figures(result, plan)
+        print(" ".join(f"{name}={value}" for name, value in found.items()))
+        if result.unclean:
+            print(f"not ended cleanly: {' '.join(result.unclean)}", file=sys.stderr)
+        if result.findings.total() or result.unclean:
+            print(f"logs and history: {result.directory}", file=sys.stderr)
+            sys.exit(1)
+
+
+def main():
+    """Run the command."""
+    command.main(Load)
