Tie a request id to its statement, and lend shares less eagerly

Cause of the lost write (scenario entry_killed): SET @dfw_request_id stayed on a connection whose write was refused by the rate limit; the next, other write used it and was answered with the recorded answer of the first.

Ruled out: replication (the logs agree), a crossed answer (acked in 4 ms, less than a round trip to another data centre, so never sent).

Change: a refused statement uses up its request id; the record keeps a digest of the statements and an id used for others is refused; a lender keeps 15% of its slot, a borrower asks only when its tokens run low; instances take callers once their slot refills.

--- a/dragonflywing/callers.py
+++ b/dragonflywing/callers.py
@@ -41,9 +41,9 @@
         self.conn = None
         self.backend = None
         self.aborted = False
-        self.wrote = False
         self.used_at = now
         self.request_id = None
+        self.writes = []
 
 
 class CallerSession(WireSession):
@@ -93,6 +93,10 @@
         self.busy = True
         try:
             return await self._execute(sql, attrs, started)
+        except DfwError:
+            # An id is for one statement, whether that was served or refused.
+            self.request_id = None
+            raise
         finally:
             self.busy = False
             self.entry.metrics.time("statement", self._now() - started)
@@ -195,11 +199,17 @@
             elif name == "@dfw_route":
                 self.route = value
             elif name == "@dfw_request_id":
-                self.request_id = recorded.check_id(value)
+                self._set_request_id(recorded.check_id(value))
             elif name.startswith("@"):
                 raise DfwError(errors.STATEMENT_REFUSED, f"unknown setting {name}")
         return Result()
 
+    def _set_request_id(self, request_id):
+        if self.transaction is not None:
+            self.transaction.request_id = request_id
+        else:
+            self.request_id = request_id
+
     def _show(self, shape, name):
         values = {
             **VARIABLES,
@@ -358,13 +368,14 @@
 
     async def _run_recorded(self, run, sql, request_id):
         """Return (result, commit's info); the info is empty for a repeat."""
+        statements_digest = recorded.digest([sql])
         await run("BEGIN")
         try:
             result = await run(sql)
-            await run(recorded.insert_sql(request_id, result))
+            await run(recorded.insert_sql(request_id, statements_digest, result))
         except DatabaseError as exc:
             await run("ROLLBACK")
-            found = await recorded.find(run, request_id)
+            found = await recorded.find(run, request_id, statements_digest)
             if found is not None:
                 self.entry.metrics.count("write.repeated")
                 return found, b""
@@ -394,6 +405,7 @@
     def _start_transaction(self, request_id):
         self.transaction = Transaction(self._now())
         self.transaction.request_id = request_id
+        self.request_id = None
 
     async def _in_transaction(self, group, workspace, sql, kind, deadline):
         transaction = self.transaction
@@ -415,7 +427,8 @@
                 errors.TRANSACTION_LOST, f"rolled back: {exc.message}"
             ) from exc
         transaction.used_at = self._now()
-        transaction.wrote = transaction.wrote or kind is Kind.WRITE
+        if kind is Kind.WRITE:
+            transaction.writes.append(sql)
         return result._replace(info=b"")
 
     async def _open_transaction(self, group, workspace, deadline):
@@ -498,7 +511,7 @@
         group = self.entry.groups[cfg.workspaces[workspace].group]
         conn, backend = transaction.conn, transaction.backend
         try:
-            result = await self._commit_on(conn, backend, request_id, deadline)
+            result = await self._commit_on(transaction, request_id, deadline)
             conn.in_transaction = False
         except DfwError as exc:
             self._note_failure(group, backend, exc)
@@ -511,18 +524,22 @@
         await self._acknowledge(group, backend, result, deadline)
         return Result()
 
-    async def _commit_on(self, conn, backend, request_id, deadline):
+    async def _commit_on(self, transaction, request_id, deadline):
         """Return COMMIT's Result, or None if the request had run before."""
 
         async def run(text):
-            return await backend.run_on(conn, text, deadline)
+            return await transaction.backend.run_on(transaction.conn, text, deadline)
 
         if request_id is not None:
             recorded.check_id(request_id)
+            statements_digest = recorded.digest(transaction.writes)
             try:
-                await run(recorded.insert_sql(request_id, Result()))
+                insert = recorded.insert_sql(request_id, statements_digest, Result())
+                await run(insert)
             except DatabaseError as exc:
-                return await self._settle_duplicate(run, request_id, exc)
+                return await self._settle_duplicate(
+                    run, request_id, statements_digest, exc
+                )
         try:
             return await run("COMMIT")
         except DfwError as exc:
@@ -530,14 +547,14 @@
                 raise DfwError(errors.TRANSACTION_LOST, exc.message) from exc
             raise
 
-    async def _settle_duplicate(self, run, request_id, exc):
+    async def _settle_duplicate(self, run, request_id, statements_digest, exc):
         await run("ROLLBACK")
         if exc.code.errno == recorded.NO_TABLE_ERRNO:
             await run(recorded.CREATE)
             raise DfwError(
                 errors.TRANSACTION_LOST, "rolled back to create a table; try again"
             )
-        if await recorded.find(run, request_id) is None:
+        if await recorded.find(run, request_id, statements_digest) is None:
             raise exc
         self.entry.metrics.count("write.repeated")
         return None
--- a/dragonflywing/decisions/shares.py
+++ b/dragonflywing/decisions/shares.py
@@ -17,10 +17,13 @@
 # A loan is extended once this share of its time has passed.
 EXTEND_AFTER = 0.5
 # Weight of the demand seen in the latest period, and the period in seconds.
-DEMAND_WEIGHT = 0.3
-DEMAND_PERIOD_S = 0.25
-# A lender keeps this many times its own demand.
+DEMAND_WEIGHT = 0.2
+DEMAND_PERIOD_S = 0.1
+# A lender keeps this many times its own demand, and this part of its slot.
 LENDER_MARGIN = 1.3
+KEPT_PART = 0.15
+# A borrower asks only when its tokens last for less than this, in seconds.
+LOW_WATER_S = 0.5
 # A borrower asks for this many times its unmet demand.
 BORROWER_MARGIN = 1.3
 # Loans below this share are not worth a message.
@@ -186,10 +189,7 @@
         if elapsed < DEMAND_PERIOD_S:
             continue
         seen = bucket.arrivals / elapsed
-        if seen >= bucket.demand:
-            bucket.demand = seen
-        else:
-            bucket.demand += DEMAND_WEIGHT * (seen - bucket.demand)
+        bucket.demand += DEMAND_WEIGHT * (seen - bucket.demand)
         bucket.arrivals = 0
         bucket.demand_at = now
 
@@ -201,7 +201,8 @@
         needed = LENDER_MARGIN * bucket.demand / bucket.rate
         lent = sum(loan.share for loan in bucket.lent.values() if loan.until > now)
         # Borrowed shares are not lent on, so only the own slot counts.
-        free = _own_share(state, now) - lent - needed
+        own = _own_share(state, now)
+        free = own * (1 - KEPT_PART) - lent - needed
         if free >= LEAST_LOAN:
             found[name] = free
     return found
@@ -212,6 +213,8 @@
     found = {}
     for name, bucket in state.buckets.items():
         needed = BORROWER_MARGIN * bucket.demand / bucket.rate
+        if bucket.tokens > bucket.demand * LOW_WATER_S and bucket.tokens >= 1:
+            continue
         # A workspace needs no more than its whole share.
         missing = min(needed, 1.0) - share(state, bucket, now)
         if missing >= LEAST_LOAN and bucket.demand > 0:
--- a/dragonflywing/entry.py
+++ b/dragonflywing/entry.py
@@ -22,6 +22,9 @@
 SWEEP_S = 0.2
 # Time for callers to read the last answer and close, after a shutdown.
 LINGER_S = 1.0
+READY_POLL_S = 0.05
+# Time beyond the longest loan for which a start waits for its slot.
+READY_EXTRA_S = 1.0
 
 
 class Entry:
@@ -197,6 +200,22 @@
             await self.store.close()
             self.metrics.flush()
 
+    async def _wait_ready(self):
+        """Wait for a configuration, and for a while for a slot and primaries.
+
+        Callers that came earlier would only be refused.
+        """
+        loop = asyncio.get_running_loop()
+        while self.versions.cfg is None and not self.draining.is_set():
+            await asyncio.sleep(READY_POLL_S)
+        end = loop.time() + shares.LOAN_S + READY_EXTRA_S
+        while loop.time() < end and not self.draining.is_set():
+            primaries = all(group.primary for group in self.groups.values())
+            state = self.limiter.state
+            if primaries and state.has_slot and loop.time() >= state.refill_from:
+                return
+            await asyncio.sleep(READY_POLL_S)
+
     async def _start(self, tasks):
         cfg = self.cfg
         await self.peers.start(cfg.host, cfg.peer_port)
@@ -207,6 +226,7 @@
         tasks.create_task(self.limiter.run())
         tasks.create_task(self.metrics.report())
         tasks.create_task(self._sweep())
+        await self._wait_ready()
         await self.callers.start(cfg.host, cfg.port)
         logs.event("started", instance=cfg.instance, port=cfg.port)
 
--- a/dragonflywing/limiter.py
+++ b/dragonflywing/limiter.py
@@ -9,7 +9,7 @@
 from dragonflywing.errors import DfwError
 
 TICK_S = 0.01
-LOAN_PERIOD_S = 0.1
+LOAN_PERIOD_S = 0.05
 # Peers asked for one workspace's shares at a time.
 LENDERS_ASKED = 4
 
@@ -56,16 +56,15 @@
     def _serve_queue(self, now, workspace, queue):
         while queue:
             fut, deadline = queue[0]
+            known = workspace in self.state.buckets
             if fut.done():
                 queue.popleft()
+            elif known and shares.admit(self.state, now, workspace):
+                queue.popleft()
+                fut.set_result(True)
             elif deadline <= now:
                 queue.popleft()
                 fut.set_result(False)
-            elif workspace in self.state.buckets and shares.admit(
-                self.state, now, workspace
-            ):
-                queue.popleft()
-                fut.set_result(True)
             else:
                 return
 
--- a/dragonflywing/load/callers.py
+++ b/dragonflywing/load/callers.py
@@ -18,6 +18,8 @@
 CONNECT_TIMEOUT_S = 2.0
 CALL_TIMEOUT_S = 12.0
 RETRY_PAUSE_S = 0.05
+# How long the balancer keeps callers from an instance that it cannot reach.
+AVOID_S = 1.0
 RETRIES = 40
 NOT_SENT_ERRNOS = {2002, 2003, 2006, 1040, 1045}
 CREATE = "CREATE TABLE IF NOT EXISTS orders (id VARCHAR(64), caller VARCHAR(64), n INT)"
@@ -56,6 +58,7 @@
         self.history = history
         self.rng = rng
         self.conns = {}
+        self.avoided = {}
         self.token = None
         self._ids = itertools.count(1)
 
@@ -65,6 +68,7 @@
     async def _connection(self, entry):
         conn = self.conns.get(entry)
         if conn is None:
+            self.avoided[entry] = self._now() + AVOID_S
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 conn = await asyncmy.connect(
                     host="127.0.0.1",
@@ -74,6 +78,7 @@
                     autocommit=None,
                 )
             self.conns[entry] = conn
+            del self.avoided[entry]
         return conn
 
     def drop(self, entry):
@@ -126,8 +131,14 @@
         return operation
 
     def pick_entry(self):
-        """Return an entry instance at random."""
-        return self.rng.choice(sorted(self.deployment.entries))
+        """Return an entry instance at random, as the platform's balancer does.
+
+        One that refused a connection lately is left out.
+        """
+        now = self._now()
+        names = sorted(self.deployment.entries)
+        able = [name for name in names if self.avoided.get(name, 0.0) <= now]
+        return self.rng.choice(able or names)
 
     def _insert(self, order):
         n = self.rng.randrange(1000)
--- a/dragonflywing/load/deployment.py
+++ b/dragonflywing/load/deployment.py
@@ -318,12 +318,11 @@
             self.start_entry(name)
         ports = [self.store_port, *self.database_ports.values()]
         ports += [int(item.rsplit(":", 1)[1]) for item in self.controls.values()]
-        ports += [
-            port for name, (port, _) in self.entries.items() if name in self.processes
-        ]
         await asyncio.gather(*[_wait_port(port) for port in ports])
         await self.apply(self.answers())
         await self._wait_ready()
+        started = [name for name in self.entries if name in self.processes]
+        await asyncio.gather(*[_wait_port(self.entries[name][0]) for name in started])
 
     def ops_settings(self):
         """Return the settings of dfw-ops for this deployment."""
--- a/dragonflywing/load/runs.py
+++ b/dragonflywing/load/runs.py
@@ -56,6 +56,12 @@
         for caller in self.callers:
             caller.close()
 
+    async def cancel(self):
+        """End the callers at once."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
 
 async def run(plan, seconds, fault, seed=1, pause_s=0.15, times=None):
     """Run a deployment under load with a fault; return the RunResult.
@@ -66,12 +72,11 @@
     """
     deployment = Deployment(plan, times=times, seed=seed)
     rng = random.Random(seed)
-    counters = {}
+    load = Load(deployment, seed, pause_s)
     try:
         await deployment.start()
         setup = History()
         await callers.create_tables(deployment, setup, rng)
-        load = Load(deployment, seed, pause_s)
         load.start()
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
@@ -83,6 +88,7 @@
         final = await callers.final_counts(deployment, setup, rng)
         counters = await _sum_counters(deployment)
     finally:
+        await load.cancel()
         unclean = await deployment.stop()
     load.history.save(os.path.join(deployment.dir, "history.jsonl"))
     findings = check(load.history.operations, final)
--- a/dragonflywing/recorded.py
+++ b/dragonflywing/recorded.py
@@ -2,9 +2,11 @@
 
 The record is a row of a table in the workspace's schema. A repeated request,
 through any instance and after any failover, finds the row and gets the first
-run's answer.
+run's answer. The row keeps a digest of the statements, so that an id that is
+used for something else is refused and not answered with another's result.
 """
 
+import hashlib
 import time
 
 from dragonflywing import errors
@@ -14,7 +16,8 @@
 TABLE = "dfw_requests"
 CREATE = (
     f"CREATE TABLE IF NOT EXISTS {TABLE} (request_id VARCHAR(128) PRIMARY KEY, "
-    "affected_rows BIGINT, last_insert_id BIGINT, created_at BIGINT)"
+    "digest VARCHAR(64), affected_rows BIGINT, last_insert_id BIGINT, "
+    "created_at BIGINT)"
 )
 MAX_ID_LENGTH = 128
 DUPLICATE_ERRNO = 1062
@@ -32,20 +35,30 @@
     return request_id
 
 
-def insert_sql(request_id, result):
+def digest(statements):
+    """Return the digest of a request's statements."""
+    text = "\0".join(statements).encode("utf-8", "surrogateescape")
+    return hashlib.sha256(text).hexdigest()
+
+
+def insert_sql(request_id, statements_digest, result):
     """Return the statement that records an answer."""
     return (
-        f"INSERT INTO {TABLE} (request_id, affected_rows, last_insert_id, created_at) "
-        f"VALUES ('{request_id}', {result.affected_rows}, {result.last_insert_id}, "
-        f"{int(time.time())})"
+        f"INSERT INTO {TABLE} "
+        "(request_id, digest, affected_rows, last_insert_id, created_at) "
+        f"VALUES ('{request_id}', '{statements_digest}', {result.affected_rows}, "
+        f"{result.last_insert_id}, {int(time.time())})"
     )
 
 
-async def find(run, request_id):
-    """Return the recorded Result of a request, or None."""
+async def find(run, request_id, statements_digest):
+    """Return the recorded Result of a request, or None.
+
+    Raise DfwError if the id was used for other statements.
+    """
     try:
         result = await run(
-            f"SELECT affected_rows, last_insert_id FROM {TABLE} "
+            f"SELECT digest, affected_rows, last_insert_id FROM {TABLE} "
             f"WHERE request_id = '{request_id}'"
         )
     except DatabaseError as exc:
@@ -54,5 +67,10 @@
         raise
     if not result.rows:
         return None
-    affected, last_id = result.rows[0]
+    known_digest, affected, last_id = result.rows[0]
+    if known_digest != statements_digest:
+        raise DfwError(
+            errors.STATEMENT_REFUSED,
+            f"request_id {request_id!r} was used for another statement",
+        )
     return Result(affected_rows=int(affected), last_insert_id=int(last_id))
--- a/dragonflywing/standin/database.py
+++ b/dragonflywing/standin/database.py
@@ -377,8 +377,6 @@
             state.promote(int(args[0]))
         elif name == "follow":
             state.follow(int(args[0]), args[1])
-        elif name == "set_lag":
-            state.lag_s = int(args[0]) / 1000
         elif name == "set_leaving":
             state.leaving = bool(int(args[0]))
         elif name != "status":
@@ -413,6 +411,10 @@
     """Send log entries to a replica while this database is its primary."""
     try:
         hello = json.loads(await reader.readline())
+        if "lag_s" in hello:
+            state.lag_s = float(hello["lag_s"])
+            writer.write(b"{}\n")
+            return
         term = state.log.term
         if not state.is_primary or hello["term"] > term:
             return
--- a/dragonflywing/ui/load.py
+++ b/dragonflywing/ui/load.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from dragonflywing.load import runs
+from dragonflywing.load import runs, scenarios
 from dragonflywing.load.deployment import plan_named
 from dragonflywing.ui import command
 
@@ -20,8 +20,16 @@
 
         Example: dfw-load demo --deployment litoral
         """
+        self.scenario("kill_primary", deployment, DEMO_S)
+
+    def scenario(self, name, deployment="huron", seconds=DEMO_S, seed=1, pause_s=0.15):
+        """Run a deployment under load with a named fault, check the history.
+
+        Example: dfw-load scenario data_centre_cut --deployment litoral --seed 7
+        """
         plan = plan_named(deployment)
-        result = command.run(runs.run(plan, DEMO_S, runs.kill_primary))
+        fault = scenarios.named(name)
+        result = command.run(runs.run(plan, seconds, fault, seed, pause_s))
         found = runs.figures(result, plan)
         print(" ".join(f"{name}={value}" for name, value in found.items()))
         if result.unclean:
