--- a/dragonflywing/callers.py
+++ b/dragonflywing/callers.py
@@ -104,7 +104,10 @@
     # Checks
 
     def _check(self, route):
-        """Return (configuration, workspace) if the caller may run statements."""
+        """Return (configuration, workspace) for a caller's statement.
+
+        The workspace is None for a caller without key on a route that needs one.
+        """
         entry = self.entry
         cfg = entry.versions.cfg
         if cfg is None:
@@ -117,9 +120,7 @@
         workspace, key_id = self.caller()
         if workspace is None:
             spec = cfg.routes.get(route)
-            if spec is None or not spec.open:
-                raise DfwError(errors.ACCESS_DENIED, "this route needs a key")
-            return cfg, spec.workspace
+            return cfg, spec.workspace if spec and spec.open else None
         if not identity.is_valid(cfg, workspace, key_id):
             raise DfwError(errors.KEY_WITHDRAWN, "the key was withdrawn")
         if self.database and self.database != workspace:
@@ -128,15 +129,24 @@
             )
         return cfg, workspace
 
+    @staticmethod
+    def _check_open(kind, workspace):
+        """Refuse what a caller without key may not do."""
+        if kind in (Kind.SET, Kind.SHOW):
+            return
+        if workspace is None:
+            raise DfwError(errors.ACCESS_DENIED, "this route needs a key")
+        if kind is not Kind.READ:
+            raise DfwError(errors.ACCESS_DENIED, "open routes serve reads only")
+
     async def _execute(self, sql, attrs, started):
         route = attrs.get("route", self.route)
         if "session_token" in attrs:
             self._set_token(attrs["session_token"])
         cfg, workspace = self._check(route)
-        statement = statements.decide(self.entry.statements, sql, workspace)
-        if self.caller()[0] is None and statement.kind not in (Kind.READ, Kind.SHOW):
-            if statement.kind is not Kind.SET:
-                raise DfwError(errors.ACCESS_DENIED, "open routes serve reads only")
+        statement = statements.decide(self.entry.statements, sql, workspace or "")
+        if self.caller()[0] is None:
+            self._check_open(statement.kind, workspace)
         deadline = started + self.entry.cfg.times.statement_s
         request_id = attrs.get("request_id") or self.request_id
         return await self._dispatch(
@@ -162,7 +172,8 @@
             await self._commit(workspace, deadline, None)
             self._start_transaction(request_id)
             return Result()
-        if self.transaction is None and not self.auto:
+        is_open = self.caller()[0] is None
+        if self.transaction is None and not self.auto and not is_open:
             self._start_transaction(request_id)
         await self.entry.limiter.admit(workspace)
         if self.transaction is not None:
--- a/dragonflywing/configuration.py
+++ b/dragonflywing/configuration.py
@@ -9,6 +9,7 @@
 from dragonflywing.errors import UserError
 
 MAX_BYTES = 1_000_000
+RECENT_CHANGES = 256
 NAME = re.compile(r"[a-z][a-z0-9_-]{0,62}")
 ADDRESS = re.compile(r"[0-9.]+:[0-9]{1,5}")
 HASH = re.compile(r"[0-9a-f]{40}")
@@ -65,6 +66,8 @@
     routes: dict[str, Route]
     # Hashes of withdrawn keys by workspace; they cannot be given again.
     withdrawn: dict[str, tuple[str, ...]] = {}
+    # Ids of the latest changes, by which a lost answer is settled.
+    recent_changes: tuple[str, ...] = ()
 
 
 def _require(condition, field, expected):
@@ -77,7 +80,9 @@
     _require(NAME.fullmatch(name), field, "a name of a-z, 0-9, _ and -")
     _require(workspace.group in cfg.groups, f"{field}.group", "the name of a group")
     _require(workspace.rate > 0, f"{field}.rate", "more than 0 statements/s")
-    _require(workspace.burst >= 1, f"{field}.burst", "at least 1 statement")
+    # Each slot of the fleet must be able to save up one statement.
+    least = f"at least {cfg.fleet_size} statements, one for each instance"
+    _require(workspace.burst >= cfg.fleet_size, f"{field}.burst", least)
     ids = [key.id for key in workspace.keys]
     _require(len(set(ids)) == len(ids), f"{field}.keys", "distinct ids")
     for key in workspace.keys:
--- a/dragonflywing/decisions/shares.py
+++ b/dragonflywing/decisions/shares.py
@@ -28,6 +28,8 @@
 BORROWER_MARGIN = 1.3
 # Loans below this share are not worth a message.
 LEAST_LOAN = 0.002
+# Least burst that an instance with demand needs, in statements.
+LEAST_BURST = 2.0
 
 
 class Loan(NamedTuple):
@@ -216,6 +218,8 @@
         if bucket.tokens > bucket.demand * LOW_WATER_S and bucket.tokens >= 1:
             continue
         # A workspace needs no more than its whole share.
+        # Less than the burst of two statements would serve nothing.
+        needed = max(needed, LEAST_BURST / bucket.burst, LEAST_LOAN)
         missing = min(needed, 1.0) - share(state, bucket, now)
         if missing >= LEAST_LOAN and bucket.demand > 0:
             found[name] = missing
--- a/dragonflywing/entry.py
+++ b/dragonflywing/entry.py
@@ -4,9 +4,8 @@
 import json
 import signal
 import ssl
-import struct
 
-from dragonflywing import errors, identity, logs, tenure
+from dragonflywing import errors, identity, logs, supervisor, tenure
 from dragonflywing.callers import CallerSession
 from dragonflywing.decisions import retries, shares, versions
 from dragonflywing.decisions.statements import StatementCache
@@ -107,7 +106,7 @@
             name, spec, budget, self.cfg, self.store, self.metrics, self.fleet
         )
         self.groups[name] = group
-        self.group_tasks[name] = self._supervisor.create_task(group.run())
+        self.group_tasks[name] = self._keep(f"group.{name}", group.run)
 
     def _stop_group(self, name):
         del self.groups[name]
@@ -123,19 +122,11 @@
         self.metrics.count("caller.key_withdrawn")
         logs.event("key_withdrawn", workspace=workspace, key_id=key_id)
         if not conn.session.busy:
-            code = errors.KEY_WITHDRAWN
-            self._say_goodbye(conn, DfwError(code, "the key was withdrawn"))
-            conn.task.cancel()
+            conn.say_goodbye(DfwError(errors.KEY_WITHDRAWN, "the key was withdrawn"))
+            asyncio.get_running_loop().call_later(LINGER_S, conn.task.cancel)
 
     # Shutdown
 
-    @staticmethod
-    def _say_goodbye(conn, exc):
-        """Answer the caller's next command in advance, so that it is not lost."""
-        packet = conn.make_error(exc)
-        header = struct.pack("<I", len(packet) | 1 << 24)
-        conn.stream.writer.write(header + packet)
-
     async def _drain(self):
         """Finish running requests, then end all connections."""
         self.fleet.leaving = True
@@ -143,17 +134,13 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + self.cfg.times.drain_s
         said = set()
+        farewell = DfwError(errors.SHUTTING_DOWN, "instance is shutting down")
         while loop.time() < end:
             open_conns = self.callers.connections
             for conn in list(open_conns - said):
                 if self._is_idle(conn):
                     said.add(conn)
-                    self._say_goodbye(
-                        conn,
-                        DfwError(errors.SHUTTING_DOWN, "instance is shutting down"),
-                    )
-                    if conn.stream.writer.can_write_eof():
-                        conn.stream.writer.write_eof()
+                    conn.say_goodbye(farewell)
             if not open_conns - said:
                 break
             await asyncio.sleep(0.01)
@@ -187,7 +174,7 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 self._supervisor = tasks
-                await self._start(tasks)
+                await self._start()
                 await self.draining.wait()
                 await self._drain()
                 raise Drained
@@ -216,16 +203,24 @@
                 return
             await asyncio.sleep(READY_POLL_S)
 
-    async def _start(self, tasks):
+    def _keep(self, name, start):
+        """Start a supervised task."""
+        coroutine = supervisor.supervise(name, start, self.metrics)
+        return self._supervisor.create_task(coroutine)
+
+    async def _start(self):
         cfg = self.cfg
         await self.peers.start(cfg.host, cfg.peer_port)
-        tasks.create_task(self.fleet.run())
-        tasks.create_task(tenure.watch_configuration(cfg, self.store, self.fleet))
-        tasks.create_task(tenure.keep_presence(cfg, self.store))
-        tasks.create_task(self.slot.run())
-        tasks.create_task(self.limiter.run())
-        tasks.create_task(self.metrics.report())
-        tasks.create_task(self._sweep())
+        self._keep("fleet", self.fleet.run)
+        self._keep(
+            "configuration",
+            lambda: tenure.watch_configuration(cfg, self.store, self.fleet),
+        )
+        self._keep("presence", lambda: tenure.keep_presence(cfg, self.store))
+        self._keep("slot", self.slot.run)
+        self._keep("limiter", self.limiter.run)
+        self._keep("metrics", self.metrics.report)
+        self._keep("sweep", self._sweep)
         await self._wait_ready()
         await self.callers.start(cfg.host, cfg.port)
         logs.event("started", instance=cfg.instance, port=cfg.port)
--- a/dragonflywing/group.py
+++ b/dragonflywing/group.py
@@ -1,6 +1,7 @@
 """One database group: its primary, fences, acknowledgements and promotions."""
 
 import asyncio
+import functools
 import hashlib
 import itertools
 import json
@@ -12,6 +13,7 @@
 from dragonflywing.decisions.positions import ZERO, Status, majority
 from dragonflywing.errors import DfwError, StoreError, Verdict
 from dragonflywing.store import settle
+from dragonflywing.supervisor import supervise
 
 # How long a replica may hold back the answer to a position query.
 WAIT_SLICE_MS = 15
@@ -481,14 +483,17 @@
 
     async def run(self):
         """Serve the group until cancelled."""
+        jobs = [("tick", self._tick), ("watch", self._watch_primary)]
+        for backend in self.backends.values():
+            jobs += [
+                ("expire", backend.expire),
+                ("probe", functools.partial(self._probe, backend)),
+                ("positions", functools.partial(self._pump_positions, backend)),
+            ]
         try:
             async with asyncio.TaskGroup() as tasks:
-                tasks.create_task(self._tick())
-                tasks.create_task(self._watch_primary())
-                for backend in self.backends.values():
-                    tasks.create_task(backend.expire())
-                    tasks.create_task(self._probe(backend))
-                    tasks.create_task(self._pump_positions(backend))
+                for name, start in jobs:
+                    tasks.create_task(supervise(f"group.{name}", start, self.metrics))
         finally:
             for task in list(self._tasks):
                 task.cancel()
--- a/dragonflywing/load/callers.py
+++ b/dragonflywing/load/callers.py
@@ -20,6 +20,8 @@
 RETRY_PAUSE_S = 0.05
 # How long the balancer keeps callers from an instance that it cannot reach.
 AVOID_S = 1.0
+GONE_AWAY = "2006"
+NOT_CONNECTED = "2003"
 RETRIES = 40
 NOT_SENT_ERRNOS = {2002, 2003, 2006, 1040, 1045}
 CREATE = "CREATE TABLE IF NOT EXISTS orders (id VARCHAR(64), caller VARCHAR(64), n INT)"
@@ -60,6 +62,7 @@
         self.conns = {}
         self.avoided = {}
         self.token = None
+        self.in_batch = False
         self._ids = itertools.count(1)
 
     def _now(self):
@@ -90,8 +93,17 @@
     async def run(self, entry, *statements):
         """Run statements on one connection; return the last one's rows.
 
-        The Failure of a later statement than the first is that of its own.
+        A connection that the driver finds closed before it sends the first
+        statement is opened again, as a client's pool does.
         """
+        try:
+            return await self._run(entry, statements)
+        except Failure as exc:
+            if exc.reason.startswith(GONE_AWAY) and not self.in_batch:
+                return await self._run(entry, statements)
+            raise
+
+    async def _run(self, entry, statements):
         sent = False
         try:
             conn = await self._connection(entry)
@@ -115,6 +127,9 @@
             raise
 
     def _record(self, kind, entry, order, started, outcome, reason="", seen=False):
+        if reason.startswith(NOT_CONNECTED):
+            # The platform's balancer would have chosen another instance.
+            return
         operation = Operation(
             kind,
             self.workspace,
@@ -128,7 +143,6 @@
             seen,
         )
         self.history.add(operation)
-        return operation
 
     def pick_entry(self):
         """Return an entry instance at random, as the platform's balancer does.
@@ -182,7 +196,9 @@
         inserts = [self._insert(order) for _ in range(BATCH_SIZE)]
         committing = False
         try:
-            for sql in ("BEGIN", *inserts):
+            await self.run(entry, "BEGIN")
+            self.in_batch = True
+            for sql in inserts:
                 await self.run(entry, sql)
             committing = True
             await self.run(entry, "COMMIT")
@@ -192,6 +208,8 @@
             self._record("batch", entry, order, started, verdict, exc.reason)
             await self._roll_back(entry)
             return None
+        finally:
+            self.in_batch = False
         self._record("batch", entry, order, started, OK)
         return order
 
--- a/dragonflywing/load/deployment.py
+++ b/dragonflywing/load/deployment.py
@@ -153,12 +153,15 @@
 class Deployment:
     """The processes of one deployment; start, break and stop them."""
 
-    def __init__(self, plan, times=None, seed=1, statement_s=0.0, initial=0):
+    def __init__(
+        self, plan, times=None, seed=1, statement_s=0.0, initial=0, traced=False
+    ):
         self.plan = plan
         self.times = times or {}
         self.rng = random.Random(seed)
         self.statement_s = statement_s
         self.initial = initial
+        self.traced = traced
         self.dir = tempfile.mkdtemp(prefix="dfw-")
         self.ports = PortPool()
         self.processes = {}
@@ -258,6 +261,7 @@
             "initial_primary": self.first_primary(group),
             "connections": self.plan.connections,
             "statement_s": self.statement_s,
+            "trace": os.path.join(self.dir, f"{name}.trace") if self.traced else "",
         }
         path = self._write(f"{name}.json", settings)
         self._start(name, "standin", "database", "--settings", path)
--- a/dragonflywing/operations.py
+++ b/dragonflywing/operations.py
@@ -62,17 +62,19 @@
         known, revision = await current(store)
         mark = secrets.token_hex(8)
         version = known.version + 1 if known else 1
-        cfg = alter(known)._replace(version=version, change_id=mark)
+        recent = (known.recent_changes if known else ()) + (mark,)
+        cfg = alter(known)._replace(
+            version=version,
+            change_id=mark,
+            recent_changes=recent[-configuration.RECENT_CHANGES :],
+        )
         data = configuration.encode(configuration.check(cfg))
 
         async def check(mark=mark, version=version):
             now, _ = await current(store)
             if now is None or now.version < version:
                 return None
-            if now.version == version:
-                return now.change_id == mark
-            # Overtaken by a later change; only a known mark would tell.
-            return now.change_id == mark or None
+            return mark in now.recent_changes
 
         if await settle(
             lambda data=data, revision=revision: store.swap(
--- a/dragonflywing/standin/database.py
+++ b/dragonflywing/standin/database.py
@@ -54,6 +54,15 @@
     connect_s: float = 0.012
     statement_s: float = 0.0
     apply_lag_s: float = 0.002
+    # File in which users and statements are noted as they arrive.
+    trace: str = ""
+
+
+def trace(cfg, text):
+    """Note what the database was sent, if its settings ask for it."""
+    if cfg.trace:
+        with open(cfg.trace, "a", encoding="utf-8", errors="replace") as file:
+            file.write(text + "\n")
 
 
 class DatabaseState:
@@ -242,6 +251,7 @@
                 db.execute("ROLLBACK")
 
     async def execute(self, sql, attrs):
+        trace(self.state.cfg, sql)
         control = CONTROL.match(sql)
         if control:
             return await self._control(control[1].lower(), control[2])
@@ -402,6 +412,7 @@
 
     async def get_user(self, username):
         await asyncio.sleep(self.cfg.connect_s)
+        trace(self.cfg, username)
         if username != self.cfg.user:
             return None
         return User(username, self.auth, NativePasswordAuthPlugin.name)
--- a/dragonflywing/store.py
+++ b/dragonflywing/store.py
@@ -179,13 +179,18 @@
     `call` returns whether the write was done. `check` re-reads the store and
     returns True or False if the effect of a lost answer shows, else None.
     """
+    uncertain = False
     for _ in range(attempts):
         try:
-            return await call()
+            done = await call()
+            # A refusal may be due to the effect of an earlier, lost answer.
+            if done or not uncertain:
+                return done
         except StoreError as exc:
             if not exc.may_have_run:
                 await asyncio.sleep(pause_s)
                 continue
+            uncertain = True
         try:
             outcome = await check()
         except StoreError:
--- a/dragonflywing/ui/load.py
+++ b/dragonflywing/ui/load.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from dragonflywing.load import runs, scenarios
+from dragonflywing.load import bench, runs, scenarios
 from dragonflywing.load.deployment import plan_named
 from dragonflywing.ui import command
 
@@ -38,6 +38,13 @@
             print(f"logs and history: {result.directory}", file=sys.stderr)
             sys.exit(1)
 
+    def bench(self, idle=1000):
+        """Measure latency, throughput and memory of one entry instance.
+
+        Example: dfw-load bench --idle 2000
+        """
+        print(bench.table(*command.run(bench.run(idle))))
+
 
 def main():
     """Run the command."""
--- a/dragonflywing/wire.py
+++ b/dragonflywing/wire.py
@@ -64,6 +64,15 @@
     ColumnType.YEAR,
 }
 GLOBAL_VARIABLES = GlobalVariables()
+PARSE_FAILURES = (
+    AssertionError,
+    AttributeError,
+    IndexError,
+    KeyError,
+    TypeError,
+    ValueError,
+    struct.error,
+)
 
 
 class Column(NamedTuple):
@@ -103,6 +112,15 @@
             return b""
 
 
+def _parsed(function, *args, **kwargs):
+    """Return what a parser returns; refuse a packet that it fails on."""
+    try:
+        return function(*args, **kwargs)
+    except PARSE_FAILURES as exc:
+        message = f"malformed packet: {type(exc).__name__}"
+        raise DfwError(errors.MALFORMED, message) from None
+
+
 def _column(column, rows, index):
     kind = ColumnType(column.type_code)
     if kind is ColumnType.NULL:
@@ -200,11 +218,26 @@
 class WireConnection(Connection):
     """One connection of a caller."""
 
-    def __init__(self, *args, handshake_s=10.0, on_error=None, **kwargs):
+    def __init__(
+        self, *args, handshake_s=10.0, on_error=None, max_packet=2**24, **kwargs
+    ):
         super().__init__(*args, **kwargs)
+        self.max_packet = max_packet
         self.handshake_s = handshake_s
         self.on_error = on_error
         self.parts = {}
+        self.said_goodbye = False
+
+    def say_goodbye(self, exc):
+        """Answer the caller's next command in advance; none runs from now on."""
+        if self.said_goodbye or self.stream.writer.is_closing():
+            return
+        self.said_goodbye = True
+        packet = self.make_error(exc)
+        header = struct.pack("<I", len(packet) | 1 << 24)
+        self.stream.writer.write(header + packet)
+        if self.stream.writer.can_write_eof():
+            self.stream.writer.write_eof()
 
     async def connection_phase(self):
         try:
@@ -225,6 +258,9 @@
             data = await self._read_command()
             if data is None or data[:1] == b"\x01":
                 return
+            if self.said_goodbye:
+                # Its answer was sent in advance and says that it did not run.
+                continue
             self._set_status()
             try:
                 await self._dispatch(data)
@@ -233,9 +269,11 @@
             except MysqlError as exc:
                 code = errors.Code(int(exc.code), "HY000", "protocol")
                 await self._answer_error(DfwError(code, exc.msg))
-            except (struct.error, IndexError, ValueError, KeyError) as exc:
-                message = f"malformed packet: {type(exc).__name__}"
-                await self._answer_error(DfwError(errors.MALFORMED, message))
+            except (OSError, ConnectionClosed):
+                return
+            except Exception as exc:
+                logs.warn("internal_error", error=type(exc).__name__, message=str(exc))
+                await self._answer_error(unclear(errors.INTERNAL, "internal error"))
             finally:
                 self.stream.reset_seq()
 
@@ -289,7 +327,8 @@
 
     async def handle_query(self, data):
         if Capabilities.CLIENT_QUERY_ATTRIBUTES in self.capabilities:
-            query = packets.parse_com_query(
+            query = _parsed(
+                packets.parse_com_query,
                 capabilities=self.capabilities,
                 client_charset=self.client_charset,
                 data=data,
@@ -326,11 +365,19 @@
         await self.stream.drain()
 
     async def handle_stmt_close(self, data):
-        self.parts.pop(packets.parse_com_stmt_close(data).stmt_id, None)
+        self.parts.pop(_parsed(packets.parse_com_stmt_close, data).stmt_id, None)
         await super().handle_stmt_close(data)
 
+    async def handle_stmt_send_long_data(self, data):
+        sent = _parsed(packets.parse_com_stmt_send_long_data, data)
+        buffers = self.get_stmt(sent.stmt_id).param_buffers or {}
+        size = sum(len(item) for item in buffers.values()) + len(sent.data)
+        if size > self.max_packet:
+            raise DfwError(errors.TOO_LARGE, f"parameters of {size} bytes")
+        await super().handle_stmt_send_long_data(data)
+
     async def handle_stmt_reset(self, data):
-        stmt = self.get_stmt(packets.parse_com_stmt_reset(data).stmt_id)
+        stmt = self.get_stmt(_parsed(packets.parse_com_stmt_reset, data).stmt_id)
         stmt.param_buffers = None
         await self.stream.write(self.ok())
 
@@ -369,7 +416,7 @@
         return "".join(pieces), attrs
 
     async def handle_stmt_execute(self, data):
-        sql, attrs = self._bind(data)
+        sql, attrs = _parsed(self._bind, data)
         result = await self.session.execute(sql, attrs)
         self._set_status()
         if not result.columns:
@@ -430,6 +477,7 @@
             identity_provider=self.identity,
             server_capabilities=CAPABILITIES,
             ssl=self.ssl,
+            max_packet=self.max_packet,
             **self.options,
         )
         conn.task = asyncio.current_task()
@@ -448,7 +496,7 @@
             await conn.command_phase()
         except (ConnectionClosed, MysqlError, OSError, asyncio.IncompleteReadError):
             pass
-        except (struct.error, IndexError, ValueError, AssertionError, DfwError) as exc:
+        except (*PARSE_FAILURES, DfwError) as exc:
             logs.event("malformed_handshake", error=type(exc).__name__)
         except asyncio.CancelledError:
             pass
--- /dev/null
+++ b/test/decisions/test_groups.py
@@ -0,0 +1,256 @@
+"""Writes, acknowledgements and promotions of a group under message faults."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from dragonflywing.decisions import acks, failover, fences
+from dragonflywing.decisions.positions import (
+    ZERO,
+    Position,
+    Status,
+    confirmed_primary,
+    decode_token,
+    encode_token,
+)
+
+NAMES = ("a", "b", "c")
+
+
+class ModelDatabase:
+    """A database with a log that follows the rules of the platform."""
+
+    def __init__(self, name):
+        self.name = name
+        self.term = 1
+        self.primary = "a"
+        self.log = []
+
+    def status(self):
+        last = Position(*self.log[-1][:2]) if self.log else ZERO
+        primary = self.primary == self.name
+        return Status(self.name, primary, self.term, last, last, False, 0)
+
+    def accept(self, term):
+        if term > self.term:
+            self.term = term
+            self.primary = None
+
+    def promote(self, term):
+        if term == self.term and self.primary is None:
+            self.primary = self.name
+            self.log.append((term, len(self.log) + 1, "start"))
+
+    def follow(self, term, primary):
+        if term < self.term or primary == self.name:
+            return
+        self.accept(term)
+        if self.primary is None:
+            self.primary = primary
+
+    def replicate(self, source, count):
+        if source.primary != source.name or source.term != self.term:
+            return
+        common = 0
+        for mine, theirs in zip(self.log, source.log, strict=False):
+            if mine != theirs:
+                break
+            common += 1
+        self.log = self.log[:common] + source.log[common : common + count]
+
+
+class GroupMachine(RuleBasedStateMachine):
+    """Two entry instances write to a group of three and promote in it."""
+
+    def __init__(self):
+        super().__init__()
+        self.databases = {name: ModelDatabase(name) for name in NAMES}
+        self.acks = [acks.AckState(3), acks.AckState(3)]
+        self.writes = {}
+        self.acked = {}
+        self.next_write = 0
+        self.record = 1
+        self.promotions = []
+        self.fences = []
+
+    @rule(name=st.sampled_from(NAMES), entry=st.integers(0, 1))
+    def write(self, name, entry):
+        database = self.databases[name]
+        if database.primary != name:
+            return
+        self.next_write += 1
+        position = Position(database.term, len(database.log) + 1)
+        database.log.append((*position, self.next_write))
+        self.writes[self.next_write] = position
+        own = database.status()
+        self._settle(acks.report(self.acks[entry], own))
+        self._settle(acks.wait(self.acks[entry], self.next_write, position, 1e9))
+
+    def _settle(self, messages):
+        for message in messages:
+            if isinstance(message, acks.Acked):
+                self.acked[message.waiter] = self.writes[message.waiter]
+
+    @rule(name=st.sampled_from(NAMES), entry=st.integers(0, 1))
+    def report(self, name, entry):
+        status = self.databases[name].status()
+        self._settle(acks.report(self.acks[entry], status))
+
+    @rule(
+        source=st.sampled_from(NAMES),
+        replica=st.sampled_from(NAMES),
+        count=st.integers(0, 3),
+    )
+    def replicate(self, source, replica, count):
+        if source != replica and self.databases[replica].primary == source:
+            self.databases[replica].replicate(self.databases[source], count)
+
+    @rule()
+    def claim(self):
+        self.record += 1
+        state = failover.Promotion(NAMES, self.record, 0.0, 1.0)
+        steps = failover.start(state) and failover.claimed(state, True)
+        self.promotions.append((state, list(steps)))
+
+    @rule(data=st.data(), lost=st.booleans())
+    def step(self, data, lost):
+        """Carry out any outstanding step of any promotion, or lose it."""
+        able = [item for item in self.promotions if item[1]]
+        if not able:
+            return
+        state, steps = data.draw(st.sampled_from(able))
+        step = steps.pop(data.draw(st.integers(0, len(steps) - 1)))
+        if isinstance(step, failover.AcceptTerm):
+            status = None
+            if not lost:
+                self.databases[step.database].accept(step.term)
+                status = self.databases[step.database].status()
+            steps += failover.accepted(state, step.database, status)
+        elif isinstance(step, failover.Promote):
+            if not lost:
+                self.databases[step.database].promote(step.term)
+            status = self.databases[step.database].status()
+            done = not lost and status.primary and status.term == step.term
+            steps += failover.promoted(state, done)
+        elif isinstance(step, failover.Follow) and not lost:
+            self.databases[step.database].follow(step.term, step.primary)
+
+    @rule()
+    def fence(self):
+        """Start a fence; it must cover all that was acknowledged before."""
+        floor = max(self.acked.values(), default=ZERO)
+        state = fences.FenceState(NAMES)
+        queries = fences.ask(state, 0.0, 1, 1.0)
+        self.fences.append((floor, state, queries))
+
+    @rule(data=st.data(), lost=st.booleans())
+    def answer_fence(self, data, lost):
+        able = [item for item in self.fences if item[2]]
+        if not able:
+            return
+        floor, state, queries = data.draw(st.sampled_from(able))
+        query = queries.pop(data.draw(st.integers(0, len(queries) - 1)))
+        status = None if lost else self.databases[query.database].status()
+        for message in fences.answer(
+            state, 0.0, query.round_id, query.database, status, 1.0
+        ):
+            if isinstance(message, fences.Granted):
+                assert message.position >= floor
+
+    @invariant()
+    def acked_writes_survive(self):
+        latest = max(
+            (x for x in self.databases.values() if x.primary == x.name),
+            key=lambda x: x.term,
+            default=None,
+        )
+        if latest is None:
+            return
+        kept = {entry[2] for entry in latest.log}
+        for write, position in self.acked.items():
+            assert position.term > latest.term or write in kept
+
+    @invariant()
+    def one_primary_in_each_term(self):
+        terms = [x.term for x in self.databases.values() if x.primary == x.name]
+        assert len(terms) == len(set(terms))
+
+
+TestGroupMachine = GroupMachine.TestCase
+TestGroupMachine.settings = settings(
+    max_examples=400, stateful_step_count=80, deadline=None, derandomize=True
+)
+
+
+def status(name, primary, term, received, leaving=False):
+    """Return a status whose applied position equals the received one."""
+    return Status(name, primary, term, received, received, leaving, 0)
+
+
+class TestPositions:
+    def test_token_round_trip(self):
+        assert decode_token(encode_token(Position(3, 88))) == Position(3, 88)
+
+    def test_replaced_primary_is_not_confirmed(self):
+        found = [
+            status("a", True, 1, Position(1, 9)),
+            status("b", False, 2, Position(1, 9)),
+            status("c", False, 2, Position(1, 9)),
+        ]
+        assert confirmed_primary(found, 3) is None
+
+
+class TestFences:
+    def test_one_round_serves_all_that_waited(self):
+        state = fences.FenceState(NAMES)
+        first = fences.ask(state, 0.0, 1, 1.0)
+        assert len(first) == 3
+        assert fences.ask(state, 0.0, 2, 1.0) == []
+        assert fences.ask(state, 0.0, 3, 1.0) == []
+        one = status("a", True, 1, Position(1, 5))
+        two = status("b", False, 1, Position(1, 4))
+        assert fences.answer(state, 0.1, 1, "a", one, 1.0) == []
+        messages = fences.answer(state, 0.1, 1, "b", two, 1.0)
+        granted = [m for m in messages if isinstance(m, fences.Granted)]
+        assert [m.waiter for m in granted] == [1]
+        assert granted[0].position == Position(1, 5)
+        queries = [m for m in messages if isinstance(m, fences.Query)]
+        assert len(queries) == 3
+        assert state.served == [2, 3]
+
+    def test_refuses_after_the_deadline(self):
+        state = fences.FenceState(NAMES)
+        fences.ask(state, 0.0, 1, 1.0)
+        assert fences.expire(state, 0.9, 1.0) == []
+        assert fences.expire(state, 1.0, 1.0) == [fences.Refused(1)]
+
+
+class TestFailover:
+    def test_chooses_the_longest_log_of_a_majority(self):
+        state = failover.Promotion(NAMES, 2, 0.0, 1.0)
+        failover.claimed(state, True)
+        assert failover.accepted(state, "a", status("a", False, 2, ZERO)) == []
+        last = status("b", False, 2, Position(1, 3))
+        steps = failover.accepted(state, "b", last)
+        assert steps == [failover.Promote("b", 2)]
+
+    def test_leaving_database_is_not_chosen(self):
+        state = failover.Promotion(NAMES, 2, 0.0, 1.0)
+        failover.claimed(state, True)
+        leaving = status("a", False, 2, Position(1, 9), leaving=True)
+        assert failover.accepted(state, "a", leaving) == []
+        assert failover.accepted(state, "b", status("b", False, 2, ZERO)) == []
+        steps = failover.accepted(state, "c", status("c", False, 2, Position(1, 8)))
+        assert steps == [failover.Promote("c", 2)]
+
+    def test_suspects_silence_and_stalled_log(self):
+        state = failover.SuspicionState(0.0)
+        failover.see_primary(state, 1.0, status("a", True, 1, Position(1, 1)))
+        assert not failover.suspects(state, 1.5, 0.8)
+        assert failover.suspects(state, 1.9, 0.8)
+        for tick in range(10):
+            now = 2.0 + tick * 0.5
+            failover.see_primary(state, now, status("a", True, 1, Position(1, 2)))
+        assert failover.suspects(state, 6.5, 0.8)
+        failover.see_stored(state, 6.5, Position(1, 2))
+        assert not failover.suspects(state, 6.5, 0.8)
--- /dev/null
+++ b/test/test_configuration.py
@@ -0,0 +1,107 @@
+"""Settings, answers and configurations: each mistake names its field."""
+
+import pytest
+
+from dragonflywing import answers, configuration, settings, typed
+from dragonflywing.errors import UserError
+
+
+def filled():
+    """Return valid answers as plain JSON."""
+    return {
+        "fleet_size": 2,
+        "groups": {
+            "orders": {
+                "databases": {"a": {"address": "10.0.0.1:3306", "data_centre": "x"}},
+            }
+        },
+        "workspaces": {
+            "press": {
+                "group": "orders",
+                "rate": 10,
+                "burst": 5,
+                "keys": [{"id": "k", "key": "secret"}],
+            }
+        },
+        "routes": {"old": {"max_age_ms": 10}},
+    }
+
+
+def generate(value):
+    """Return the configuration of plain answers."""
+    return answers.generate(typed.convert(value, answers.Answers))
+
+
+class TestAnswers:
+    def test_generates_a_whole_configuration(self):
+        cfg = generate(filled())
+        assert cfg.workspaces["press"].keys[0].hash != "secret"
+        assert configuration.decode(configuration.encode(cfg)) == cfg
+
+    @pytest.mark.parametrize(
+        "path,value,field",
+        [
+            (("workspaces", "press", "group"), "none", "workspaces.press.group"),
+            (("workspaces", "press", "rate"), 0, "workspaces.press.rate"),
+            (("workspaces", "press", "rate"), "x", "workspaces.press.rate"),
+            (("workspaces", "press", "burst"), 0, "workspaces.press.burst"),
+            (("workspaces", "press", "more"), 0, "workspaces.press.more"),
+            (("fleet_size",), 0, "fleet_size"),
+            (("groups", "orders", "connections"), 1, "groups.orders.connections"),
+            (("groups", "orders", "databases", "a"), 1, "groups.orders.databases.a"),
+            (("routes", "old", "max_age_ms"), -1, "routes.old.max_age_ms"),
+            (("routes", "old", "open"), True, "routes.old.workspace"),
+        ],
+    )
+    def test_names_the_field(self, path, value, field):
+        plain = filled()
+        target = plain
+        for name in path[:-1]:
+            target = target[name]
+        target[path[-1]] = value
+        with pytest.raises(UserError, match=f"field {field}: "):
+            generate(plain)
+
+    def test_refuses_over_a_megabyte(self):
+        with pytest.raises(UserError, match="1000000"):
+            configuration.decode(b" " * 1_000_001)
+
+    def test_questionnaire_is_a_valid_answer(self):
+        generated = answers.generate(answers.load(answers.QUESTIONNAIRE_PATH))
+        assert generated.fleet_size == 9
+
+
+class TestSettings:
+    def _load(self, tmp_path, text):
+        path = tmp_path / "entry.json"
+        path.write_text(text)
+        return settings.load(str(path))
+
+    def test_reads_comments_over_defaults(self, tmp_path):
+        cfg = self._load(
+            tmp_path,
+            '{// c\n instance: "e", data_centre: "d", peer_secret: "s", '
+            "times: {ack_s: 1.5}}",
+        )
+        assert cfg.times.ack_s == 1.5
+        assert cfg.port == 3306
+
+    @pytest.mark.parametrize(
+        "text,message",
+        [
+            ("{", "not JSON"),
+            ("[]", "object"),
+            ('{instance: "e", data_centre: "d"}', "peer_secret"),
+            ("{instance: 5}", "field instance"),
+            ("{tiems: {}}", "field tiems: unknown"),
+            (
+                '{instance: "e", data_centre: "d", peer_secret: "s", '
+                "times: {ack_s: 0}}",
+                "times.ack_s",
+            ),
+        ],
+    )
+    def test_names_file_and_field(self, tmp_path, text, message):
+        with pytest.raises(UserError, match=message) as caught:
+            self._load(tmp_path, text)
+        assert "entry.json" in str(caught.value)
--- /dev/null
+++ b/test/test_points.py
@@ -0,0 +1,502 @@
+"""The brief's points that need no history: each with real processes."""
+
+import asyncio
+import hashlib
+import json
+import os
+import signal
+import time
+
+import pymysql
+import pytest
+
+from dragonflywing import operations
+from dragonflywing.errors import UserError
+from dragonflywing.load import scenarios
+from dragonflywing.load.deployment import PEER_SECRET, key_of
+from dragonflywing.peers import PeerClient
+from test.helper import connect, deployed, query, run
+
+
+async def errno_of(awaitable):
+    """Return the error number that an awaitable ends with, or 0."""
+    try:
+        await awaitable
+    except pymysql.MySQLError as exc:
+        return exc.args[0]
+    return 0
+
+
+async def operate(deployment, function, *args):
+    """Call an operator's function with the deployment's store."""
+    return await operations.with_store(
+        deployment.ops_settings(), lambda store: function(store, *args)
+    )
+
+
+class TestOnlyItsWorkspace:
+    def test_open_routes_and_schemas(self):
+        run(self._check())
+
+    async def _check(self):
+        async with deployed() as deployment:
+            press = await connect(deployment, "entry-1", "press")
+            harbor = await connect(deployment, "entry-2", "harbor")
+            await query(press, "CREATE TABLE orders (id INT)")
+            await query(press, "INSERT INTO orders VALUES (1)")
+            assert await errno_of(query(harbor, "SELECT * FROM orders")) == 1146
+            assert await errno_of(query(harbor, "SELECT * FROM press.orders")) == 9102
+            assert await errno_of(query(harbor, "USE press")) == 9102
+            assert await errno_of(harbor.select_db("press")) == 9102
+            wrong = connect(deployment, "entry-1", "harbor", password=key_of("press"))
+            assert await errno_of(wrong) == 1045
+            await self._open_route(deployment)
+            press.close()
+            harbor.close()
+
+    async def _open_route(self, deployment):
+        anyone = await connect(deployment, "entry-3", "open", password="", db="")
+        assert await errno_of(query(anyone, "SELECT * FROM orders")) == 1045
+        await query(anyone, "SET @dfw_route = 'public'")
+        assert await query(anyone, "SELECT id FROM orders") == [(1,)]
+        assert await errno_of(query(anyone, "DELETE FROM orders")) == 1045
+        anyone.close()
+
+
+class TestKeys:
+    def test_no_database_or_log_sees_a_key(self):
+        run(self._check_secrecy())
+
+    async def _check_secrecy(self):
+        async with deployed(traced=True) as deployment:
+            conn = await connect(deployment, "entry-1")
+            await query(conn, "CREATE TABLE orders (id INT)")
+            await query(conn, "INSERT INTO orders VALUES (1)")
+            await query(conn, "SELECT * FROM orders")
+            await errno_of(connect(deployment, "entry-1", password="wrong-key"))
+            conn.close()
+        key = key_of("press").encode()
+        once = hashlib.sha1(key).digest()
+        twice = hashlib.sha1(once).hexdigest()
+        traces = 0
+        for name in os.listdir(deployment.dir):
+            path = os.path.join(deployment.dir, name)
+            if not name.endswith((".trace", ".log")):
+                continue
+            with open(path, encoding="utf-8", errors="replace") as file:
+                text = file.read()
+            traces += name.endswith(".trace") and "INSERT" in text
+            for secret in (key.decode(), once.hex(), twice, "wrong-key"):
+                assert secret not in text
+        assert traces == 1
+
+    def test_withdrawn_key_stops_within_seconds(self):
+        run(self._check_withdrawal())
+
+    async def _check_withdrawal(self):
+        async with deployed() as deployment:
+            names = sorted(deployment.entries)
+            idle = [await connect(deployment, name) for name in names]
+            busy = [await connect(deployment, name) for name in names]
+            await operate(deployment, operations.withdraw_key, "press", "first")
+            started = time.monotonic()
+            for conn in busy:
+                while not await errno_of(query(conn, "SELECT 1")):
+                    await asyncio.sleep(0.01)
+            assert time.monotonic() - started < 3.0
+            for conn in idle:
+                assert await errno_of(query(conn, "SELECT 1")) in (9101, 2006, 2013)
+            for name in names:
+                assert await errno_of(connect(deployment, name)) == 1045
+            await self._stays_withdrawn(deployment)
+            for conn in idle + busy:
+                conn.close()
+
+    async def _stays_withdrawn(self, deployment):
+        with pytest.raises(UserError, match="not withdrawn"):
+            await deployment.apply(deployment.answers())
+        key, _ = await operate(deployment, operations.give_key, "press", "second")
+        end = time.monotonic() + 3.0
+        while await errno_of(connect(deployment, "entry-2", password=key)):
+            assert time.monotonic() < end
+            await asyncio.sleep(0.05)
+
+    def test_withdrawal_reaches_a_data_centre_without_store(self):
+        run(self._check_relay())
+
+    async def _check_relay(self):
+        async with deployed() as deployment:
+            conn = await connect(deployment, "entry-3")
+
+            def to_store(source, target):
+                return source == "entry-3" and target == "store"
+
+            await deployment.set_links(to_store, mode="cut")
+            await operate(deployment, operations.withdraw_key, "press", "first")
+            started = time.monotonic()
+            while not await errno_of(query(conn, "SELECT 1")):
+                await asyncio.sleep(0.01)
+            assert time.monotonic() - started < 5.0
+            conn.close()
+
+    def test_keys_expire_without_store_and_peers(self):
+        run(self._check_offline())
+
+    async def _check_offline(self):
+        async with deployed(times={"offline_keys_s": 3.0}) as deployment:
+            conn = await connect(deployment, "entry-3")
+
+            def to_others(source, target):
+                return "entry-3" in (source, target) and "orders" not in target
+
+            await deployment.set_links(to_others, mode="cut")
+            started = time.monotonic()
+            assert await query(conn, "SELECT 1") == [(1,)]
+            while not await errno_of(query(conn, "SELECT 1")):
+                await asyncio.sleep(0.02)
+            seconds = time.monotonic() - started
+            assert 1.0 < seconds < 5.0
+            assert await errno_of(query(conn, "SELECT 1")) == 9140
+            conn.close()
+
+
+class TestRate:
+    def test_never_above_rate_and_burst(self):
+        run(self._check())
+
+    async def _check(self):
+        rate, burst = 200.0, 100.0
+        async with deployed() as deployment:
+            admin = await connect(deployment, "entry-1", "harbor")
+            served = []
+            stop = asyncio.Event()
+            tasks = []
+            for name in sorted(deployment.entries):
+                for _ in range(8):
+                    tasks.append(self._send(deployment, name, served, stop))
+            sending = [asyncio.create_task(task) for task in tasks]
+            await asyncio.sleep(3.0)
+            deployment.freeze("entry-2")
+            await asyncio.sleep(1.5)
+            deployment.thaw("entry-2")
+            await asyncio.sleep(1.0)
+            await deployment.kill("entry-3")
+            deployment.restart("entry-3")
+            await asyncio.sleep(4.0)
+            stop.set()
+            await asyncio.gather(*sending)
+            admin.close()
+        self._check_windows(sorted(served), rate, burst)
+        assert len(served) > 0.5 * rate * 9.0
+
+    async def _send(self, deployment, name, served, stop):
+        conn = None
+        while not stop.is_set():
+            try:
+                if conn is None:
+                    conn = await connect(deployment, name, "harbor")
+                started = time.monotonic()
+                await query(conn, "SELECT 1")
+                # A grant lies between these two times.
+                served.append((started, time.monotonic()))
+            except pymysql.err.OperationalError as exc:
+                if exc.args[0] != 9110:
+                    conn = None
+                    await asyncio.sleep(0.05)
+            except (OSError, RuntimeError):
+                conn = None
+                await asyncio.sleep(0.05)
+        if conn:
+            conn.close()
+
+    @staticmethod
+    def _check_windows(served, rate, burst):
+        """No window holds more grants that surely lie within it."""
+        starts = [item[0] for item in served]
+        by_end = sorted(served, key=lambda item: item[1])
+        for begin in starts[:: max(1, len(starts) // 200)]:
+            inside = 0
+            for started, ended in by_end:
+                if started < begin:
+                    continue
+                inside += 1
+                assert inside <= rate * (ended - begin) + burst + 1
+
+
+READ_ONE = "SELECT id, label FROM orders WHERE id={}"
+
+
+class TestWholeAnswers:
+    def test_each_caller_gets_its_own_answer(self):
+        run(self._check())
+
+    async def _check(self):
+        async with deployed() as deployment:
+            setup = await connect(deployment, "entry-1")
+            await query(setup, "CREATE TABLE orders (id INT, label VARCHAR(100))")
+            for i in range(50):
+                await query(setup, "INSERT INTO orders VALUES (%s, %s)", (i, f"l{i}"))
+            stop = asyncio.Event()
+            tasks = [
+                asyncio.create_task(self._read(deployment, i, stop)) for i in range(12)
+            ]
+
+            def from_first(source, target):
+                return source == "entry-1" and target.startswith("orders")
+
+            for _ in range(4):
+                await deployment.set_links(from_first, mode="freeze")
+                await asyncio.sleep(0.4)
+                await deployment.set_links(from_first, mode="ok")
+                await asyncio.sleep(0.4)
+            stop.set()
+            counts = await asyncio.gather(*tasks)
+            assert sum(counts) > 100
+            big = await query(setup, "SELECT %s", ("x" * 1_000_000,))
+            assert big == [("x" * 1_000_000,)]
+            setup.close()
+
+    async def _read(self, deployment, i, stop):
+        done = 0
+        conn = None
+        while not stop.is_set():
+            try:
+                if conn is None:
+                    conn = await connect(deployment, "entry-1")
+                async with asyncio.timeout(0.1 if i % 2 else 20.0):
+                    rows = await query(conn, READ_ONE.format(i))
+                assert rows == [(i, f"l{i}")]
+                done += 1
+            except TimeoutError:
+                # The answer comes late, to nobody; the next caller must not see it.
+                conn.close()
+                conn = None
+        if conn:
+            conn.close()
+        return done
+
+
+class TestTransactions:
+    def test_never_mix_and_end_with_their_caller(self):
+        run(self._check())
+
+    async def _check(self):
+        async with deployed() as deployment:
+            first = await connect(deployment, "entry-1")
+            other = await connect(deployment, "entry-1")
+            await query(first, "CREATE TABLE orders (id INT)")
+            await query(first, "BEGIN")
+            await query(first, "INSERT INTO orders VALUES (1)")
+            assert await query(other, "SELECT COUNT(*) FROM orders") == [(0,)]
+            first.close()
+            await query(other, "INSERT INTO orders VALUES (2)")
+            assert await query(other, "SELECT id FROM orders") == [(2,)]
+            await self._many(deployment)
+            other.close()
+
+    async def _many(self, deployment):
+        """Concurrent transactions on one instance keep to their own rows."""
+
+        async def work(i):
+            conn = await connect(deployment, "entry-2")
+            for n in range(5):
+                await query(conn, "BEGIN")
+                await query(conn, f"INSERT INTO orders VALUES ({1000 + i})")
+                await query(conn, f"INSERT INTO orders VALUES ({1000 + i})")
+                await query(conn, "COMMIT" if n % 2 else "ROLLBACK")
+            sql = f"SELECT COUNT(*) FROM orders WHERE id={1000 + i}"
+            found = await query(conn, sql)
+            conn.close()
+            return found
+
+        found = await asyncio.gather(*[work(i) for i in range(6)])
+        assert found == [[(4,)]] * 6
+
+
+class TestRequestIds:
+    def test_an_id_is_for_one_statement(self):
+        run(self._check())
+
+    async def _check(self):
+        async with deployed() as deployment:
+            conn = await connect(deployment, "entry-1")
+            await query(conn, "CREATE TABLE orders (id INT)")
+            await query(conn, "SET @dfw_request_id = 'a'")
+            assert await errno_of(query(conn, "SELEC 1")) == 1064
+            await query(conn, "INSERT INTO orders VALUES (1)")
+            await query(conn, "INSERT INTO orders VALUES (1)")
+            assert await query(conn, "SELECT COUNT(*) FROM orders") == [(2,)]
+            await query(conn, "SET @dfw_request_id = 'b'")
+            await query(conn, "INSERT INTO orders VALUES (3)")
+            await query(conn, "SET @dfw_request_id = 'b'")
+            assert await errno_of(query(conn, "INSERT INTO orders VALUES (4)")) == 9103
+            for _ in range(2):
+                await query(conn, "BEGIN")
+                await query(conn, "SET @dfw_request_id = 'c'")
+                await query(conn, "INSERT INTO orders VALUES (5)")
+                await query(conn, "COMMIT")
+            sql = "SELECT id FROM orders ORDER BY id"
+            assert await query(conn, sql) == [(1,), (1,), (3,), (5,)]
+            conn.close()
+
+
+class TestLeavingDatabase:
+    def test_receives_no_new_work(self):
+        run(self._check())
+
+    async def _check(self):
+        async with deployed(traced=True) as deployment:
+            conns = [await connect(deployment, name) for name in deployment.entries]
+            await query(conns[0], "CREATE TABLE orders (id INT)")
+            primary = await deployment.primary("orders")
+            await operate(deployment, operations.leave_database, primary, True)
+            await asyncio.sleep(3.0)
+            trace = os.path.join(deployment.dir, f"{primary}.trace")
+            before = _work_lines(trace)
+            for conn in conns:
+                for i in range(20):
+                    await query(conn, f"INSERT INTO orders VALUES ({i})")
+                    await query(conn, "SELECT * FROM orders")
+            assert _work_lines(trace) == before
+            assert await deployment.primary("orders") != primary
+            for conn in conns:
+                conn.close()
+
+
+def _work_lines(path):
+    with open(path, encoding="utf-8") as file:
+        return sum(1 for line in file if "orders" in line)
+
+
+class TestShutdown:
+    def test_cuts_no_request(self):
+        run(self._check())
+
+    async def _check(self):
+        async with deployed(statement_s=0.02) as deployment:
+            setup = await connect(deployment, "entry-2")
+            await query(setup, "CREATE TABLE orders (id INT)")
+            stop = asyncio.Event()
+            senders = [
+                asyncio.create_task(self._send(deployment, i, stop)) for i in range(10)
+            ]
+            in_transaction = await connect(deployment, "entry-1", "harbor")
+            await query(in_transaction, "CREATE TABLE orders (id INT)")
+            await query(in_transaction, "BEGIN")
+            await query(in_transaction, "INSERT INTO orders VALUES (-1)")
+            await asyncio.sleep(0.5)
+            process = deployment.processes["entry-1"]
+            process.signal(signal.SIGTERM)
+            await asyncio.sleep(0.5)
+            assert process.popen.poll() is None
+            await query(in_transaction, "COMMIT")
+            stop.set()
+            sent = sum(await asyncio.gather(*senders), [])
+            while process.popen.poll() is None:
+                await asyncio.sleep(0.02)
+            assert process.popen.returncode == 0
+            rows = await query(setup, "SELECT id FROM orders")
+            assert sorted(row[0] for row in rows) == sorted(sent)
+            other = await connect(deployment, "entry-2", "harbor")
+            assert await query(other, "SELECT id FROM orders") == [(-1,)]
+            other.close()
+            setup.close()
+            in_transaction.close()
+
+    async def _send(self, deployment, i, stop):
+        """Return the ids that were acknowledged; any other end must be NOT_RUN."""
+        conn = await connect(deployment, "entry-1")
+        sent = []
+        while not stop.is_set():
+            value = i * 1000 + len(sent)
+            try:
+                await query(conn, f"INSERT INTO orders VALUES ({value})")
+            except pymysql.err.OperationalError as exc:
+                assert exc.args[0] in (1053, 2006), exc
+                break
+            except RuntimeError:
+                break
+            sent.append(value)
+        conn.close()
+        return sent
+
+
+class TestConfiguration:
+    def test_in_force_everywhere_and_never_reverts(self):
+        run(self._check())
+
+    async def _check(self):
+        async with deployed(initial=2) as deployment:
+            versions = []
+            watching = asyncio.create_task(self._watch(deployment, versions))
+            await deployment.set_store(mode="lose_answers")
+            changes = [
+                operate(deployment, operations.give_key, "press", f"key-{i}")
+                for i in range(6)
+            ]
+            given = await asyncio.gather(*changes)
+            await deployment.set_store(mode="ok")
+            assert len({cfg.version for _, cfg in given}) == 6
+            latest = max(cfg.version for _, cfg in given)
+            behind = await operations.with_store(
+                deployment.ops_settings(),
+                lambda store: operations.wait_in_force(
+                    deployment.ops_settings(), store, latest, 3.0
+                ),
+            )
+            assert behind == []
+            for key, _ in given:
+                conn = await connect(deployment, "entry-1", password=key)
+                conn.close()
+            await self._start_without_store(deployment, given[0][0])
+            watching.cancel()
+            assert versions == sorted(versions)
+
+    async def _start_without_store(self, deployment, key):
+        await deployment.set_store(mode="down")
+        deployment.start_entry("entry-3")
+        end = time.monotonic() + 15.0
+        while True:
+            try:
+                conn = await connect(deployment, "entry-3", password=key)
+                break
+            except (pymysql.MySQLError, OSError):
+                assert time.monotonic() < end
+                await asyncio.sleep(0.1)
+        assert await query(conn, "SELECT 1") == [(1,)]
+        conn.close()
+        await deployment.set_store(mode="ok")
+
+    async def _watch(self, deployment, versions):
+        client = PeerClient(
+            f"127.0.0.1:{deployment.entries['entry-1'][1]}", PEER_SECRET
+        )
+        while True:
+            report = await client.call("report")
+            if report:
+                versions.append(json.loads(report.json)["version"])
+            await asyncio.sleep(0.05)
+
+
+class TestReadYourWrites:
+    def test_with_all_replicas_behind(self):
+        run(self._check())
+
+    async def _check(self):
+        async with deployed() as deployment:
+            first = await connect(deployment, "entry-1")
+            second = await connect(deployment, "entry-2")
+            await query(first, "CREATE TABLE orders (id INT)")
+            primary = await deployment.primary("orders")
+            for name in deployment.databases("orders"):
+                if name != primary:
+                    await scenarios.set_lag(deployment, name, 5.0)
+            for i in range(10):
+                await query(first, f"INSERT INTO orders VALUES ({i})")
+                sql = f"SELECT id FROM orders WHERE id={i}"
+                assert await query(second, sql) == [(i,)]
+            await query(second, "SET @dfw_route = 'catalogue'")
+            rows = await query(second, "SELECT COUNT(*) FROM orders")
+            assert rows[0][0] <= 10
+            first.close()
+            second.close()
