Switch mechanisms off and show that tests notice; share probes

Cause: tests that pass at once prove little until they have failed. A group is probed often only by two instances of each data centre and by those that use it.

--- a/dragonflywing/callers.py
+++ b/dragonflywing/callers.py
@@ -168,6 +168,7 @@
         if kind is Kind.COMMIT:
             return await self._commit(workspace, deadline, request_id)
         group = self.entry.groups[cfg.workspaces[workspace].group]
+        group.use()
         if kind is Kind.BEGIN:
             await self._commit(workspace, deadline, None)
             self._start_transaction(request_id)
--- a/dragonflywing/configuration.py
+++ b/dragonflywing/configuration.py
@@ -10,6 +10,7 @@
 
 MAX_BYTES = 1_000_000
 RECENT_CHANGES = 256
+MAX_RATE = 1e7  # statements/s, and statements of burst
 NAME = re.compile(r"[a-z][a-z0-9_-]{0,62}")
 ADDRESS = re.compile(r"[0-9.]+:[0-9]{1,5}")
 HASH = re.compile(r"[0-9a-f]{40}")
@@ -79,7 +80,8 @@
     field = f"workspaces.{name}"
     _require(NAME.fullmatch(name), field, "a name of a-z, 0-9, _ and -")
     _require(workspace.group in cfg.groups, f"{field}.group", "the name of a group")
-    _require(workspace.rate > 0, f"{field}.rate", "more than 0 statements/s")
+    in_range = 0 < workspace.rate <= MAX_RATE and workspace.burst <= MAX_RATE
+    _require(in_range, f"{field}.rate", f"more than 0, at most {MAX_RATE:g}")
     # Each slot of the fleet must be able to save up one statement.
     least = f"at least {cfg.fleet_size} statements, one for each instance"
     _require(workspace.burst >= cfg.fleet_size, f"{field}.burst", least)
--- a/dragonflywing/fleet.py
+++ b/dragonflywing/fleet.py
@@ -59,6 +59,11 @@
         """Return the names of the other live instances that are not leaving."""
         return [member.instance for member in self.alive() if not member.leaving]
 
+    def near_instances(self):
+        """Return the names of the other live instances of this data centre."""
+        place = self.cfg.data_centre
+        return [m.instance for m in self.alive() if m.data_centre == place]
+
     def is_watcher(self):
         """Return whether this instance watches the store for its data centre."""
         timeout_s = self.cfg.times.member_timeout_s
--- a/dragonflywing/group.py
+++ b/dragonflywing/group.py
@@ -22,6 +22,12 @@
 # Instances try a promotion one after the other, this far apart.
 RANK_DELAY_S = 0.15
 RECORD_PREFIX = "/dfw/groups/"
+# Instances of each data centre that probe a group whether or not they use it.
+PROBERS = 2
+# A group counts as in use this long after a statement, in seconds.
+USED_S = 10.0
+# Pause between probes of a group that is not in use, in seconds.
+SLOW_PROBE_S = 15.0
 
 
 def rank(group, instance, instances):
@@ -62,6 +68,9 @@
         self._position_wanted = asyncio.Event()
         self._promoting = False
         self._claim_seen = None
+        self._used_until = 0.0
+        self._probes_fast = True
+        self._used = asyncio.Event()
 
     def _now(self):
         return asyncio.get_running_loop().time()
@@ -278,6 +287,25 @@
 
     # Probes, suspicion and promotion
 
+    def use(self):
+        """Note that a statement of this group is to be served."""
+        self._used_until = self._now() + USED_S
+        if not self._probes_fast:
+            self._set_fast(True)
+
+    def _set_fast(self, fast):
+        if fast and not self._probes_fast:
+            # Silence counts from now on, as nothing was asked before.
+            self.suspicion.seen_at = self._now()
+            self._used.set()
+        self._probes_fast = fast
+
+    def _choose_pace(self):
+        """Probe often if the group is in use here or this is one of its probers."""
+        members = self.fleet.near_instances()
+        prober = rank(self.name, self.cfg.instance, members) < PROBERS
+        self._set_fast(prober or self._now() < self._used_until)
+
     async def _probe(self, backend):
         await asyncio.sleep(random.uniform(0, self.cfg.times.probe_s))
         while True:
@@ -292,6 +320,16 @@
                 self.forget_primary(backend.name)
             pause = self.cfg.times.probe_s - (self._now() - started)
             await asyncio.sleep(max(0.01, pause))
+            if not self._probes_fast:
+                await self._pause_slowly()
+
+    async def _pause_slowly(self):
+        self._used.clear()
+        try:
+            async with asyncio.timeout(SLOW_PROBE_S * random.uniform(0.7, 1.0)):
+                await self._used.wait()
+        except TimeoutError:
+            pass
 
     async def _repair(self, backend, status):
         """Tell a database that missed a promotion whom to follow."""
@@ -312,6 +350,8 @@
 
     def suspects(self):
         """Return whether this instance wants another primary."""
+        if not self._probes_fast:
+            return False
         backend = self.backends.get(self.primary)
         if backend and backend.is_leaving() and self._can_replace():
             return True
@@ -329,6 +369,7 @@
     async def _watch_primary(self):
         while True:
             await asyncio.sleep(self.cfg.times.probe_s / 2)
+            self._choose_pace()
             if not self.suspects() or self._promoting:
                 continue
             term = self.term
--- a/dragonflywing/load/bench.py
+++ b/dragonflywing/load/bench.py
@@ -40,7 +40,8 @@
     per_s: float
 
 
-async def _connect(port, user, password, *settings):
+async def connect(port, user, password, *settings):
+    """Return a connection after its settings were made."""
     conn = await asyncmy.connect(
         host="127.0.0.1",
         port=port,
@@ -113,7 +114,7 @@
     before = memory_kb(pid)
     conns = []
     for _ in range(count):
-        conns.append(await _connect(port, WORKSPACE, key_of(WORKSPACE)))
+        conns.append(await connect(port, WORKSPACE, key_of(WORKSPACE)))
     await asyncio.sleep(0.5)
     after = memory_kb(pid)
     for conn in conns:
@@ -131,10 +132,10 @@
         key = key_of(WORKSPACE)
 
         def direct():
-            return _connect(primary, "dragonflywing", DATABASE_PASSWORD)
+            return connect(primary, "dragonflywing", DATABASE_PASSWORD)
 
         def through(*settings):
-            return lambda: _connect(entry, WORKSPACE, key, *settings)
+            return lambda: connect(entry, WORKSPACE, key, *settings)
 
         setup = await through()()
         await setup.query("CREATE TABLE orders (id VARCHAR(64), c VARCHAR(64), n INT)")
--- a/dragonflywing/load/deployment.py
+++ b/dragonflywing/load/deployment.py
@@ -154,7 +154,14 @@
     """The processes of one deployment; start, break and stop them."""
 
     def __init__(
-        self, plan, times=None, seed=1, statement_s=0.0, initial=0, traced=False
+        self,
+        plan,
+        times=None,
+        seed=1,
+        statement_s=0.0,
+        initial=0,
+        traced=False,
+        direct_peers=False,
     ):
         self.plan = plan
         self.times = times or {}
@@ -162,6 +169,7 @@
         self.statement_s = statement_s
         self.initial = initial
         self.traced = traced
+        self.direct_peers = direct_peers
         self.dir = tempfile.mkdtemp(prefix="dfw-")
         self.ports = PortPool()
         self.processes = {}
@@ -225,7 +233,7 @@
             for name, port in self.database_ports.items():
                 self._link(entry, name, port)
             for other, (_, peer_port) in self.entries.items():
-                if other != entry:
+                if other != entry and not self.direct_peers:
                     self._link(entry, other, peer_port)
         for name in self.database_ports:
             for other in self.databases(self.group_of[name]):
@@ -277,7 +285,9 @@
             if source == name and target != "store"
         }
         seeds = [
-            addresses[other] for other in sorted(self.entries) if other in addresses
+            addresses.get(other, f"127.0.0.1:{self.entries[other][1]}")
+            for other in sorted(self.entries)
+            if other != name
         ]
         return {
             "instance": name,
@@ -458,6 +468,16 @@
                 async with session.post(url, json=body) as resp:
                     await resp.json()
 
+    async def carried_bytes(self):
+        """Return the bytes that each link has carried."""
+        carried = {}
+        async with aiohttp.ClientSession() as session:
+            for control in self.controls.values():
+                url = f"http://{control}/standin"
+                async with session.post(url, json={"links": []}) as resp:
+                    carried.update((await resp.json())["bytes"])
+        return carried
+
     async def set_store(self, **fault):
         """Set the mode or delay_s of the store; return its counts of calls."""
         url = f"http://127.0.0.1:{self.store_port}/standin"
--- a/dragonflywing/peers.py
+++ b/dragonflywing/peers.py
@@ -27,6 +27,25 @@
     return hmac.new(secret.encode(), nonce, hashlib.sha256).digest()
 
 
+class CountedStream(StreamHandler):
+    """A stream that counts the bytes it carries."""
+
+    def __init__(self, reader, writer, metrics):
+        super().__init__(reader, writer)
+        self.metrics = metrics
+
+    async def read(self, sz):
+        data = await super().read(sz)
+        if self.metrics:
+            self.metrics.count("peer.bytes", len(data))
+        return data
+
+    def write(self, buff):
+        if self.metrics:
+            self.metrics.count("peer.bytes", len(buff))
+        super().write(buff)
+
+
 class PeerHandler:
     """Answers one connection; every call but the first two needs a proof."""
 
@@ -99,7 +118,7 @@
     async def _serve(self, reader, writer):
         handler = PeerHandler(self.secret, self.service, self.metrics)
         processor = TAsyncProcessor(idl.Peer, handler)
-        stream = StreamHandler(reader, writer)
+        stream = CountedStream(reader, writer, self.metrics)
         transport = TAsyncBufferedTransportFactory().get_transport(stream)
         protocol = TAsyncBinaryProtocolFactory().get_protocol(transport)
         self._writers.add(writer)
@@ -138,7 +157,7 @@
     async def _open(self):
         host, port = self.address.rsplit(":", 1)
         reader, self._writer = await asyncio.open_connection(host, int(port))
-        stream = StreamHandler(reader, self._writer)
+        stream = CountedStream(reader, self._writer, self.metrics)
         transport = TAsyncBufferedTransportFactory().get_transport(stream)
         protocol = TAsyncBinaryProtocolFactory().get_protocol(transport)
         client = TAsyncClient(idl.Peer, protocol)
--- a/dragonflywing/standin/faults.py
+++ b/dragonflywing/standin/faults.py
@@ -32,6 +32,7 @@
         self.mode = "ok"
         self.delay_s = link.delay_s
         self.writers = set()
+        self.carried = 0
         self.healed = asyncio.Event()
         self.healed.set()
 
@@ -66,6 +67,7 @@
     sender = asyncio.create_task(send())
     try:
         while data := await reader.read(CHUNK):
+            state.carried += len(data)
             await queue.put((loop.time() + state.delay_s, data))
         await queue.put((loop.time() + state.delay_s, None))
         await sender
@@ -113,7 +115,8 @@
                 if "mode" in body:
                     state.set_mode(body["mode"])
                 changed += 1
-        return web.json_response({"changed": changed})
+        carried = {name: state.carried for name, state in states.items()}
+        return web.json_response({"changed": changed, "bytes": carried})
 
     return handle
 
--- a/dragonflywing/typed.py
+++ b/dragonflywing/typed.py
@@ -1,5 +1,6 @@
 """Checks parsed JSON into NamedTuples and names the field of each mistake."""
 
+import functools
 import types
 import typing
 
@@ -13,6 +14,10 @@
     return isinstance(kind, type) and hasattr(kind, "_field_defaults")
 
 
+# Hints are the same at every field of a kind, and slow to work out.
+_hints = functools.cache(typing.get_type_hints)
+
+
 def _expect(condition, path, expected, value):
     if not condition:
         found = type(value).__name__
@@ -21,7 +26,7 @@
 
 def _convert_namedtuple(value, kind, path):
     _expect(isinstance(value, dict), path, "an object", value)
-    hints = typing.get_type_hints(kind)
+    hints = _hints(kind)
     prefix = f"{path}." if path else ""
     for name in value:
         if name not in hints:
@@ -37,6 +42,8 @@
 
 def convert(value, kind, path=""):
     """Return `value` as an instance of `kind`, or raise UserError with the path."""
+    if type(value) is kind:
+        return value
     origin = typing.get_origin(kind)
     if _is_namedtuple(kind):
         return _convert_namedtuple(value, kind, path)
--- a/dragonflywing/ui/command.py
+++ b/dragonflywing/ui/command.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 
+import aiomisc
 import fire
 import uvloop
 
@@ -19,7 +20,7 @@
     """Run the subcommand of `commands` that the command line names."""
     logs.configure("warning")
     try:
-        fire.Fire(commands)
+        fire.Fire(commands() if isinstance(commands, type) else commands)
     except UserError as exc:
         print(f"error: {exc}", file=sys.stderr)
         sys.exit(EXIT_USER_ERROR)
@@ -32,9 +33,16 @@
 
 
 def run(coroutine):
-    """Run a coroutine on uvloop and return its result."""
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(coroutine)
+    """Run a coroutine on uvloop under aiomisc and return its result.
+
+    Logs and signals stay with absl and with the commands themselves.
+    """
+    return aiomisc.run(
+        coroutine,
+        log_config=False,
+        catch_signals=(),
+        loop_factory=uvloop.new_event_loop,
+    )
 
 
 def run_until_signal(coroutine):
--- a/dragonflywing/ui/load.py
+++ b/dragonflywing/ui/load.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from dragonflywing.load import bench, runs, scenarios
+from dragonflywing.load import bench, capacity, runs, scenarios
 from dragonflywing.load.deployment import plan_named
 from dragonflywing.ui import command
 
@@ -45,6 +45,30 @@
         """
         print(bench.table(*command.run(bench.run(idle))))
 
+    def capacity(self, plots=None, part="all"):
+        """Measure the slopes behind docs/CAPACITY.md; --plots names a folder.
+
+        Example: dfw-load capacity --plots docs/images
+        """
+        if part in ("all", "configuration"):
+            print("| workspaces | KB | ms to adopt |")
+            print("| --- | --- | --- |")
+            for count, size_kb, spent_ms in capacity.measure_configuration():
+                print(f"| {count} | {size_kb:.0f} | {spent_ms:.1f} |")
+        if part in ("all", "callers"):
+            rows = command.run(capacity.measure_callers())
+            print("\n| callers | memory MB |\n| --- | --- |")
+            for count, memory_mb in rows:
+                print(f"| {count} | {memory_mb:.1f} |")
+            per_caller = capacity.slope(rows)[1] * 1024
+            print(f"| line | {per_caller:.1f} KB for each |")
+        if part in ("all", "fleet"):
+            by_instances, by_groups = command.run(capacity.run())
+            for title, rows in (("instances", by_instances), ("groups", by_groups)):
+                print("\n" + capacity.cost_table(title, rows))
+                if plots:
+                    capacity.plot(f"{plots}/capacity-{title}.png", title, rows)
+
 
 def main():
     """Run the command."""
--- a/test/decisions/test_groups.py
+++ b/test/decisions/test_groups.py
@@ -2,7 +2,12 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
 
 from dragonflywing.decisions import acks, failover, fences
 from dragonflywing.decisions.positions import (
@@ -73,11 +78,13 @@
         self.promotions = []
         self.fences = []
 
-    @rule(name=st.sampled_from(NAMES), entry=st.integers(0, 1))
-    def write(self, name, entry):
-        database = self.databases[name]
-        if database.primary != name:
-            return
+    def _primaries(self):
+        return [x for x in self.databases.values() if x.primary == x.name]
+
+    @precondition(lambda self: self._primaries())
+    @rule(data=st.data(), entry=st.integers(0, 1))
+    def write(self, data, entry):
+        database = data.draw(st.sampled_from(self._primaries()))
         self.next_write += 1
         position = Position(database.term, len(database.log) + 1)
         database.log.append((*position, self.next_write))
@@ -96,29 +103,40 @@
         status = self.databases[name].status()
         self._settle(acks.report(self.acks[entry], status))
 
-    @rule(
-        source=st.sampled_from(NAMES),
-        replica=st.sampled_from(NAMES),
-        count=st.integers(0, 3),
-    )
-    def replicate(self, source, replica, count):
-        if source != replica and self.databases[replica].primary == source:
-            self.databases[replica].replicate(self.databases[source], count)
+    @rule(data=st.data(), count=st.integers(1, 9))
+    def replicate(self, data, count):
+        pairs = [
+            (self.databases[replica.primary], replica)
+            for replica in self.databases.values()
+            if replica.primary not in (None, replica.name)
+        ]
+        if pairs:
+            source, replica = data.draw(st.sampled_from(pairs))
+            replica.replicate(source, count)
 
-    @rule()
-    def claim(self):
+    @rule(data=st.data())
+    def claim_and_promote(self, data):
+        """Begin a promotion and carry out some of its steps."""
         self.record += 1
         state = failover.Promotion(NAMES, self.record, 0.0, 1.0)
-        steps = failover.start(state) and failover.claimed(state, True)
-        self.promotions.append((state, list(steps)))
-
+        failover.start(state)
+        item = (state, list(failover.claimed(state, True)))
+        self.promotions.append(item)
+        lost = data.draw(st.sets(st.integers(0, 9), max_size=2))
+        for turn in range(data.draw(st.integers(0, 9))):
+            self._step(data, item, turn in lost)
+
+    @precondition(lambda self: any(item[1] for item in self.promotions))
     @rule(data=st.data(), lost=st.booleans())
     def step(self, data, lost):
         """Carry out any outstanding step of any promotion, or lose it."""
         able = [item for item in self.promotions if item[1]]
-        if not able:
+        self._step(data, data.draw(st.sampled_from(able)), lost)
+
+    def _step(self, data, item, lost):
+        state, steps = item
+        if not steps:
             return
-        state, steps = data.draw(st.sampled_from(able))
         step = steps.pop(data.draw(st.integers(0, len(steps) - 1)))
         if isinstance(step, failover.AcceptTerm):
             status = None
@@ -143,11 +161,10 @@
         queries = fences.ask(state, 0.0, 1, 1.0)
         self.fences.append((floor, state, queries))
 
+    @precondition(lambda self: any(item[2] for item in self.fences))
     @rule(data=st.data(), lost=st.booleans())
     def answer_fence(self, data, lost):
         able = [item for item in self.fences if item[2]]
-        if not able:
-            return
         floor, state, queries = data.draw(st.sampled_from(able))
         query = queries.pop(data.draw(st.integers(0, len(queries) - 1)))
         status = None if lost else self.databases[query.database].status()
@@ -178,7 +195,7 @@
 
 TestGroupMachine = GroupMachine.TestCase
 TestGroupMachine.settings = settings(
-    max_examples=400, stateful_step_count=80, deadline=None, derandomize=True
+    max_examples=500, stateful_step_count=40, deadline=None, derandomize=True
 )
 
 
--- a/test/decisions/test_shares.py
+++ b/test/decisions/test_shares.py
@@ -41,8 +41,11 @@
         for instance in self.instances:
             limits = {"w": (RATE, BURST)}
             shares.configure(instance.state, instance.clock(self.now), limits)
+        for slot in range(SLOTS):
+            self.take(slot, slot)
+        self.advance(2 * shares.LOAN_S)
 
-    @rule(seconds=st.floats(0.001, 3.0))
+    @rule(seconds=st.sampled_from([0.01, 0.3, 1.0, 1.9, 2.1, 5.1]))
     def advance(self, seconds):
         self.now += seconds
         self.level = min(BURST, self.level + RATE * seconds)
@@ -88,7 +91,12 @@
         limits = {"w": (RATE, BURST)}
         shares.configure(instance.state, instance.clock(self.now), limits)
 
-    @rule(i=st.integers(0, 3), count=st.integers(1, 40))
+    @rule()
+    def spend_all(self):
+        for i in range(4):
+            self.spend(i, int(BURST) * 2)
+
+    @rule(i=st.integers(0, 3), count=st.integers(1, 60))
     def spend(self, i, count):
         instance = self.instances[i]
         clock = instance.clock(self.now)
@@ -111,6 +119,19 @@
         asked_at = self.instances[i].clock(self.now)
         self.messages.append(("request", i, j, request, asked_at))
 
+    @rule(i=st.integers(0, 3), j=st.integers(0, 3), share=st.floats(0.1, 1.0))
+    def borrow_at_once(self, i, j, share):
+        if i != j:
+            self.ask(i, j, share)
+            self._deliver(len(self.messages) - 1, False)
+            self._deliver(len(self.messages) - 1, False)
+
+    @rule(i=st.integers(0, 3))
+    def renew_all(self, i):
+        for j in range(4):
+            if j != i:
+                self.renew(j)
+
     @rule(i=st.integers(0, 3))
     def extend(self, i):
         clock = self.instances[i].clock(self.now)
@@ -123,7 +144,9 @@
         """Deliver any message in flight; it may be delivered again later."""
         if not self.messages:
             return
-        index = data.draw(st.integers(0, len(self.messages) - 1))
+        self._deliver(data.draw(st.integers(0, len(self.messages) - 1)), again)
+
+    def _deliver(self, index, again):
         message = self.messages[index]
         if not again:
             del self.messages[index]
@@ -149,7 +172,7 @@
 
 TestShareMachine = ShareMachine.TestCase
 TestShareMachine.settings = settings(
-    max_examples=300, stateful_step_count=60, deadline=None, derandomize=True
+    max_examples=400, stateful_step_count=40, deadline=None, derandomize=True
 )
 
 
@@ -210,3 +233,13 @@
             answer = shares.lend(lender, 10.1, request)
             shares.borrow(borrower, 10.1, answer, 10.1)
             assert shares.admit(borrower, 10.2, "w")
+
+    def test_late_answer_is_not_used(self):
+        borrower = self._holder()
+        answer = shares.BorrowAnswer("l/b/1", "w", 0.3, 5.0)
+        before = shares.refill_rate(borrower, 20.0, "w")
+        shares.borrow(borrower, 20.0, answer, 20.0 - shares.LOAN_S)
+        assert shares.refill_rate(borrower, 20.0, "w") == before
+        shares.borrow(borrower, 20.0, answer, 20.0 - shares.LOAN_S / 2)
+        assert shares.refill_rate(borrower, 20.5, "w") > before
+        assert shares.refill_rate(borrower, 20.0 + shares.LOAN_S / 2, "w") == before
--- /dev/null
+++ b/test/mutations.py
@@ -0,0 +1,241 @@
+"""Switches mechanisms off, one at a time, and runs the test that must notice.
+
+Run with `python -m test.mutations` (all) or `python -m test.mutations NAME`.
+Each mutation is made in a copy of the tree; exit code 1 if one is not caught.
+"""
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+from typing import NamedTuple
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+TIMEOUT_S = 120
+TESTS_FAILED = 1  # pytest's exit code
+
+
+class Mutation(NamedTuple):
+    """A text to replace in a file, and the test that must then fail."""
+
+    name: str
+    path: str
+    old: str
+    new: str
+    test: str
+
+
+SHARES = "test/decisions/test_shares.py"
+GROUPS = "test/decisions/test_groups.py"
+POINTS = "test/test_points.py"
+HISTORIES = "test/test_histories.py"
+MUTATIONS = (
+    Mutation(
+        "ack_on_primary_alone",
+        "dragonflywing/decisions/acks.py",
+        "if stored >= majority(state.size):",
+        "if stored >= 1:",
+        GROUPS,
+    ),
+    Mutation(
+        "ack_ignores_term",
+        "dragonflywing/decisions/acks.py",
+        "    if status.term != position.term:\n        return False\n"
+        "    return status.received.term == position.term and (",
+        "    return (",
+        GROUPS,
+    ),
+    Mutation(
+        "promote_any_database",
+        "dragonflywing/decisions/failover.py",
+        "best = max(able,",
+        "best = min(able,",
+        GROUPS,
+    ),
+    Mutation(
+        "fence_without_majority",
+        "dragonflywing/decisions/positions.py",
+        "return leader if followers >= majority(size) else None",
+        "return leader",
+        GROUPS,
+    ),
+    Mutation(
+        "replica_read_without_floor",
+        "dragonflywing/decisions/routing.py",
+        " and candidate.position >= floor",
+        "",
+        f"{POINTS}::TestReadYourWrites",
+    ),
+    Mutation(
+        "credit_before_debit",
+        "dragonflywing/decisions/shares.py",
+        "bucket.lent[request.loan_id] = Loan(request.loan_id, part, now + LOAN_S)",
+        "pass",
+        SHARES,
+    ),
+    Mutation(
+        "loan_counted_from_answer",
+        "dragonflywing/decisions/shares.py",
+        "until = asked_at + LOAN_S",
+        "until = now + LOAN_S",
+        SHARES,
+    ),
+    Mutation(
+        "restarted_slot_starts_full",
+        "dragonflywing/decisions/shares.py",
+        "state.refill_from = now + LOAN_S",
+        "state.refill_from = now - 100.0",
+        SHARES,
+    ),
+    Mutation(
+        "lapsed_slot_goes_on",
+        "dragonflywing/decisions/shares.py",
+        "if state.has_slot and now < state.valid_until else 0.0",
+        "if state.has_slot else 0.0",
+        SHARES,
+    ),
+    Mutation(
+        "rate_not_limited",
+        "dragonflywing/limiter.py",
+        "if not queue and shares.admit(self.state, now, workspace):",
+        "if True:",
+        f"{POINTS}::TestRate",
+    ),
+    Mutation(
+        "withdrawn_key_kept",
+        "dragonflywing/identity.py",
+        "return item is not None and any(key.id == key_id for key in item.keys)",
+        "return item is not None",
+        f"{POINTS}::TestKeys::test_withdrawn_key_stops_within_seconds",
+    ),
+    Mutation(
+        "keys_never_expire_offline",
+        "dragonflywing/callers.py",
+        "> entry.cfg.times.offline_keys_s",
+        "> 1e12",
+        f"{POINTS}::TestKeys::test_keys_expire_without_store_and_peers",
+    ),
+    Mutation(
+        "configuration_may_revert",
+        "dragonflywing/operations.py",
+        "lambda known: merge_keys(cfg, known)",
+        "lambda known: cfg",
+        f"{POINTS}::TestKeys::test_withdrawn_key_stops_within_seconds",
+    ),
+    Mutation(
+        "lost_answer_taken_as_refusal",
+        "dragonflywing/store.py",
+        "            uncertain = True\n",
+        "            return False\n",
+        f"{POINTS}::TestConfiguration",
+    ),
+    Mutation(
+        "schema_not_checked",
+        "dragonflywing/decisions/statements.py",
+        "    _check_names(tree, workspace)\n",
+        "",
+        f"{POINTS}::TestOnlyItsWorkspace",
+    ),
+    Mutation(
+        "late_answer_reused",
+        "dragonflywing/backend.py",
+        "            except BaseException:\n                self.close()\n"
+        "                raise\n            answer",
+        "            except BaseException:\n                raise\n            answer",
+        f"{POINTS}::TestWholeAnswers",
+    ),
+    Mutation(
+        "transaction_shares_connection",
+        "dragonflywing/callers.py",
+        "            transaction.backend.release(transaction.conn, False)",
+        "            transaction.conn.in_transaction = False\n"
+        "            transaction.backend.release(transaction.conn, True)",
+        f"{POINTS}::TestTransactions",
+    ),
+    Mutation(
+        "request_id_not_recorded",
+        "dragonflywing/callers.py",
+        "await run(recorded.insert_sql(request_id, statements_digest, result))",
+        "pass",
+        "test/test_path.py",
+    ),
+    Mutation(
+        "leaving_database_used",
+        "dragonflywing/backend.py",
+        "return self.leaving or (self.status is not None and self.status.leaving)",
+        "return False",
+        f"{POINTS}::TestLeavingDatabase",
+    ),
+    Mutation(
+        "shutdown_runs_after_farewell",
+        "dragonflywing/entry.py",
+        "                if self._is_idle(conn):",
+        "                if True:",
+        f"{POINTS}::TestShutdown",
+    ),
+    Mutation(
+        "not_run_for_lost_connection",
+        "dragonflywing/backend.py",
+        "verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN",
+        "verdict = Verdict.NOT_RUN",
+        f"{HISTORIES}::TestHistories::test_holds_under[kill_primary]",
+    ),
+)
+
+
+def _run_test(test, copy, env):
+    """Return pytest's exit code; a test that hangs is ended with its processes."""
+    popen = subprocess.Popen(
+        [sys.executable, "-m", "pytest", "-x", "-q", test],
+        cwd=copy,
+        env=env,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+        start_new_session=True,
+    )
+    try:
+        return popen.wait(TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        os.killpg(popen.pid, signal.SIGKILL)
+        popen.wait()
+        return TESTS_FAILED
+
+
+def is_caught(mutation):
+    """Return whether the mutation's test fails in a mutated copy of the tree."""
+    with tempfile.TemporaryDirectory(prefix="dfw-mutation-") as copy:
+        for name in ("dragonflywing", "test", "pyproject.toml"):
+            source = os.path.join(ROOT, name)
+            target = os.path.join(copy, name)
+            if os.path.isdir(source):
+                ignore = shutil.ignore_patterns("__pycache__")
+                shutil.copytree(source, target, ignore=ignore)
+            else:
+                shutil.copy(source, target)
+        path = os.path.join(copy, mutation.path)
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+        if text.count(mutation.old) != 1:
+            raise SystemExit(f"{mutation.name}: its text is not there exactly once")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text.replace(mutation.old, mutation.new))
+        env = {**os.environ, "PYTHONPATH": copy}
+        return _run_test(mutation.test, copy, env) == TESTS_FAILED
+
+
+def main(names):
+    """Run the named mutations, or all; return the exit code."""
+    missed = 0
+    for mutation in MUTATIONS:
+        if names and mutation.name not in names:
+            continue
+        caught = is_caught(mutation)
+        missed += not caught
+        print(f"{mutation.name}: {'caught' if caught else 'NOT CAUGHT'}", flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/test/test_points.py
+++ b/test/test_points.py
@@ -27,6 +27,15 @@
     return 0
 
 
+async def until_refused(conn, limit_s):
+    """Return the seconds until a statement is refused; fail after the limit."""
+    started = time.monotonic()
+    while not await errno_of(query(conn, "SELECT 1")):
+        assert time.monotonic() - started < limit_s
+        await asyncio.sleep(0.01)
+    return time.monotonic() - started
+
+
 async def operate(deployment, function, *args):
     """Call an operator's function with the deployment's store."""
     return await operations.with_store(
@@ -101,8 +110,7 @@
             await operate(deployment, operations.withdraw_key, "press", "first")
             started = time.monotonic()
             for conn in busy:
-                while not await errno_of(query(conn, "SELECT 1")):
-                    await asyncio.sleep(0.01)
+                await until_refused(conn, 3.0)
             assert time.monotonic() - started < 3.0
             for conn in idle:
                 assert await errno_of(query(conn, "SELECT 1")) in (9101, 2006, 2013)
@@ -133,10 +141,7 @@
 
             await deployment.set_links(to_store, mode="cut")
             await operate(deployment, operations.withdraw_key, "press", "first")
-            started = time.monotonic()
-            while not await errno_of(query(conn, "SELECT 1")):
-                await asyncio.sleep(0.01)
-            assert time.monotonic() - started < 5.0
+            await until_refused(conn, 5.0)
             conn.close()
 
     def test_keys_expire_without_store_and_peers(self):
@@ -150,12 +155,8 @@
                 return "entry-3" in (source, target) and "orders" not in target
 
             await deployment.set_links(to_others, mode="cut")
-            started = time.monotonic()
             assert await query(conn, "SELECT 1") == [(1,)]
-            while not await errno_of(query(conn, "SELECT 1")):
-                await asyncio.sleep(0.02)
-            seconds = time.monotonic() - started
-            assert 1.0 < seconds < 5.0
+            assert await until_refused(conn, 5.0) > 1.0
             assert await errno_of(query(conn, "SELECT 1")) == 9140
             conn.close()
 
