--- /dev/null
+++ b/dragonflywing/load/baselines.py
@@ -0,0 +1,61 @@
+"""The simplest other mechanisms, as changes to a copy of the package.
+
+Measurements compare with them in the same run; the product does not hold them.
+"""
+
+import os
+import shutil
+import tempfile
+from typing import NamedTuple
+
+import dragonflywing
+from dragonflywing.errors import UserError
+
+PACKAGE = os.path.dirname(os.path.abspath(dragonflywing.__file__))
+
+
+class Change(NamedTuple):
+    """A text to replace in a file of the package."""
+
+    path: str
+    old: str
+    new: str
+
+
+BASELINES = {
+    "static division": Change("limiter.py", "self._move_shares(now)", "continue"),
+    "ack on primary alone": Change(
+        "decisions/acks.py", "if stored >= majority(state.size):", "if stored >= 1:"
+    ),
+    "fence per read": Change(
+        "decisions/fences.py",
+        "state.served = state.waiting\n    state.waiting = []",
+        "state.served = [state.waiting.pop(0)]",
+    ),
+    "random replica": Change(
+        "decisions/routing.py",
+        "return min(pair, key=expected_latency)",
+        "return rng.choice(pair)",
+    ),
+}
+
+
+def package_path(name):
+    """Return a folder with a changed copy of the package, None for no change."""
+    if name is None:
+        return None
+    if name not in BASELINES:
+        raise UserError(f"baseline {name!r}: expected one of {', '.join(BASELINES)}")
+    change = BASELINES[name]
+    folder = tempfile.mkdtemp(prefix="dfw-baseline-")
+    ignore = shutil.ignore_patterns("__pycache__")
+    copy = os.path.join(folder, "dragonflywing")
+    shutil.copytree(PACKAGE, copy, ignore=ignore)
+    path = os.path.join(copy, change.path)
+    with open(path, encoding="utf-8") as file:
+        text = file.read()
+    if text.count(change.old) != 1:
+        raise UserError(f"baseline {name!r}: its text is not there exactly once")
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(text.replace(change.old, change.new))
+    return folder
--- a/dragonflywing/load/bench.py
+++ b/dragonflywing/load/bench.py
@@ -47,7 +47,7 @@
         port=port,
         user=user,
         password=password,
-        database=WORKSPACE,
+        database=user if user != "dragonflywing" else WORKSPACE,
         autocommit=None,
     )
     for sql in settings:
--- a/dragonflywing/load/deployment.py
+++ b/dragonflywing/load/deployment.py
@@ -105,10 +105,15 @@
 class Process:
     """A started process and the file of its log."""
 
-    def __init__(self, name, args, log_path):
+    def __init__(self, name, args, log_path, python_path=None):
         self.name = name
         self.args = args
         self.log_path = log_path
+        self.env = dict(os.environ)
+        if python_path:
+            self.env["PYTHONPATH"] = python_path
+            # Keeps the current folder from going before it.
+            self.env["PYTHONSAFEPATH"] = "1"
         self.popen = None
         self.start()
 
@@ -116,7 +121,11 @@
         """Start the process, again if it has ended."""
         with open(self.log_path, "a", encoding="utf-8") as log:
             self.popen = subprocess.Popen(
-                self.args, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+                self.args,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=self.env,
             )
 
     def signal(self, number):
@@ -162,6 +171,7 @@
         initial=0,
         traced=False,
         direct_peers=False,
+        python_path=None,
     ):
         self.plan = plan
         self.times = times or {}
@@ -170,6 +180,7 @@
         self.initial = initial
         self.traced = traced
         self.direct_peers = direct_peers
+        self.python_path = python_path
         self.dir = tempfile.mkdtemp(prefix="dfw-")
         self.ports = PortPool()
         self.processes = {}
@@ -250,7 +261,8 @@
 
     def _start(self, name, module, *args):
         log_path = os.path.join(self.dir, f"{name}.log")
-        self.processes[name] = Process(name, _command(module, *args), log_path)
+        args = _command(module, *args)
+        self.processes[name] = Process(name, args, log_path, self.python_path)
 
     def _start_database(self, name):
         group = self.group_of[name]
--- /dev/null
+++ b/dragonflywing/load/experiments.py
@@ -0,0 +1,206 @@
+"""Experiments: rates under a skewed balancer, failovers, cost of fences."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+
+from dragonflywing import operations
+from dragonflywing.load import baselines, bench, callers
+from dragonflywing.load.deployment import Deployment, Plan, key_of
+from dragonflywing.load.history import History, check, longest_gap, quantile
+from dragonflywing.load.runs import Load
+
+RATE = 60.0
+BURST = 60.0
+INSIDE = 0.7  # share of its rate that a quiet workspace asks for
+LOUD = 5.0
+RATE_RUN_S = 14.0
+SHIFT_S = 3.0
+HOT = 0.8
+BALANCERS = ("even", "skewed", "shifting")
+QUIET = ("copal", "myrrh", "export")
+FAILOVER_PAUSE_S = 3.0
+GAP_WINDOW_S = 3.5
+
+
+def _rate_plan():
+    workspaces = {name: ("sort-a", RATE, BURST) for name in (*QUIET, "loud")}
+    return Plan(
+        "rates",
+        ("litoral-a", "cuyo-a", "noa-a"),
+        0.002,
+        ("sort-a",),
+        32,
+        workspaces,
+        9,
+    )
+
+
+def _pick(balancer, entries, moment, rng):
+    if balancer == "even":
+        return rng.choice(entries)
+    hot = int(moment / SHIFT_S) % len(entries) if balancer == "shifting" else 0
+    return entries[hot] if rng.random() < HOT else rng.choice(entries)
+
+
+class RateLoad:
+    """Sends statements at given rates and counts what was served."""
+
+    def __init__(self, deployment, balancer, seed):
+        self.deployment = deployment
+        self.balancer = balancer
+        self.rng = random.Random(seed)
+        self.pools = {}
+        self.asked = Counter()
+        self.served = Counter()
+        self.reasons = Counter()
+
+    async def _one(self, workspace, entry):
+        pool = self.pools.setdefault((workspace, entry), [])
+        self.asked[workspace] += 1
+        conn = pool.pop() if pool else None
+        try:
+            if conn is None:
+                port = self.deployment.entries[entry][0]
+                key = key_of(workspace)
+                setting = "SET @dfw_route = 'catalogue'"
+                conn = await bench.connect(port, workspace, key, setting)
+            await conn.query("SELECT 1")
+            self.served[workspace] += 1
+        except callers.driver_errors.MySQLError as exc:
+            self.reasons[(workspace, exc.args[0])] += 1
+            if not str(exc.args[-1]).startswith("["):
+                return
+        pool.append(conn)
+
+    async def send(self, workspace, per_s, end):
+        """Send statements of a workspace at a rate until `end`."""
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        tasks = []
+        entries = sorted(self.deployment.entries)
+        while loop.time() < end:
+            await asyncio.sleep(self.rng.expovariate(per_s))
+            entry = _pick(self.balancer, entries, loop.time() - begin, self.rng)
+            tasks.append(asyncio.create_task(self._one(workspace, entry)))
+        await asyncio.gather(*tasks)
+
+    def close(self):
+        """Close all connections."""
+        for pool in self.pools.values():
+            for conn in pool:
+                conn.close()
+
+
+async def rates(baseline=None, seed=1):
+    """Return rows of (balancer, refused share, least served share, loud share)."""
+    path = baselines.package_path(baseline)
+    deployment = Deployment(_rate_plan(), python_path=path)
+    rows = []
+    try:
+        await deployment.start()
+        await asyncio.sleep(3.0)
+        for balancer in BALANCERS:
+            load = RateLoad(deployment, balancer, seed)
+            loop = asyncio.get_running_loop()
+            end = loop.time() + RATE_RUN_S
+            sends = [load.send(name, RATE * INSIDE, end) for name in QUIET]
+            await asyncio.gather(*sends, load.send("loud", RATE * LOUD, end))
+            asked = sum(load.asked[name] for name in QUIET)
+            served = sum(load.served[name] for name in QUIET)
+            least = min(load.served[name] / load.asked[name] for name in QUIET)
+            allowed = RATE * RATE_RUN_S + BURST
+            rows.append(
+                (balancer, 1 - served / asked, least, load.served["loud"] / allowed)
+            )
+            load.close()
+            await asyncio.sleep(2.5)
+    finally:
+        await deployment.stop()
+    return rows
+
+
+async def failovers(plan, count=20, seed=1, baseline=None):
+    """Kill primaries one after the other; return (gaps in s, findings)."""
+    path = baselines.package_path(baseline)
+    deployment = Deployment(plan, seed=seed, python_path=path)
+    rng = random.Random(seed)
+    load = Load(deployment, seed, 0.05)
+    loop = asyncio.get_running_loop()
+    moments = []
+    try:
+        await deployment.start()
+        setup = History()
+        await callers.create_tables(deployment, setup, rng)
+        load.start()
+        await asyncio.sleep(2.0)
+        for i in range(count):
+            group = plan.groups[i % len(plan.groups)]
+            primary = await deployment.primary(group)
+            moments.append((group, loop.time()))
+            await deployment.kill(primary)
+            await asyncio.sleep(FAILOVER_PAUSE_S)
+            deployment.restart(primary)
+            await asyncio.sleep(1.5)
+        await load.stop()
+        await asyncio.sleep(1.0)
+        final = await callers.final_counts(deployment, setup, rng)
+    finally:
+        await load.cancel()
+        await deployment.stop()
+    gaps = []
+    for group, moment in moments:
+        names = {n for n, spec in plan.workspaces.items() if spec[0] == group}
+        own = [x for x in load.history.operations if x.workspace in names]
+        gaps.append(longest_gap(own, moment - 0.1, moment + GAP_WINDOW_S))
+    return gaps, check(load.history.operations, final)
+
+
+async def latencies(plan, baseline=None, seconds=8.0, seed=1):
+    """Return p50 and p99 in ms of reads and writes, and fence queries per read."""
+    path = baselines.package_path(baseline)
+    deployment = Deployment(plan, seed=seed, python_path=path)
+    load = Load(deployment, seed, 0.02)
+    try:
+        await deployment.start()
+        await callers.create_tables(deployment, History(), random.Random(seed))
+        load.start()
+        await asyncio.sleep(seconds)
+        await load.stop()
+        reports = [r for r in (await deployment.reports()).values() if r]
+    finally:
+        await load.cancel()
+        await deployment.stop()
+    queries = sum(r["counters"].get("fence.query", 0) for r in reports)
+    found = {}
+    for kind in ("read", "write"):
+        times = [
+            (x.ended - x.started) * 1000
+            for x in load.history.operations
+            if x.kind == kind and x.outcome == "OK"
+        ]
+        found[kind] = (quantile(times, 0.5), quantile(times, 0.99), len(times))
+    return found, queries / max(1, found["read"][2])
+
+
+async def spread(plan, rounds=10):
+    """Return the seconds that changes took to be in force on every instance."""
+    deployment = Deployment(plan)
+    times = []
+    try:
+        await deployment.start()
+        cfg = deployment.ops_settings()
+        workspace = next(iter(plan.workspaces))
+
+        async def give(store):
+            _, new = await operations.give_key(store, workspace, f"key-{len(times)}")
+            started = time.monotonic()
+            behind = await operations.wait_in_force(cfg, store, new.version, 18.0)
+            return float("inf") if behind else time.monotonic() - started
+
+        for _ in range(rounds):
+            times.append(await operations.with_store(cfg, give))
+    finally:
+        await deployment.stop()
+    return times
--- a/dragonflywing/ui/load.py
+++ b/dragonflywing/ui/load.py
@@ -1,9 +1,13 @@
 """The dfw-load command: demonstration, load, experiments and reports."""
 
+import random
 import sys
+import time
 
-from dragonflywing.load import bench, capacity, runs, scenarios
+from dragonflywing.errors import UserError
+from dragonflywing.load import bench, capacity, experiments, runs, scenarios
 from dragonflywing.load.deployment import plan_named
+from dragonflywing.load.history import quantile
 from dragonflywing.ui import command
 
 DEMO_S = 15.0
@@ -27,16 +31,39 @@
 
         Example: dfw-load scenario data_centre_cut --deployment litoral --seed 7
         """
+        if not self._run(name, plan_named(deployment), seconds, seed, pause_s):
+            sys.exit(1)
+
+    def soak(self, seed=1, minutes=5, deployment="huron"):
+        """Run faults chosen by a seed for some minutes, check every history.
+
+        Example: dfw-load soak --seed 7 --minutes 20 --deployment litoral
+        """
         plan = plan_named(deployment)
+        rng = random.Random(seed)
+        end = time.monotonic() + minutes * 60
+        held = True
+        while time.monotonic() < end:
+            name = rng.choice(sorted(scenarios.SCENARIOS))
+            run_seed = rng.randrange(10**6)
+            print(f"scenario={name} seed={run_seed}", end=" ", flush=True)
+            held = self._run(name, plan, DEMO_S, run_seed, 0.1) and held
+        if not held:
+            sys.exit(1)
+
+    @staticmethod
+    def _run(name, plan, seconds, seed, pause_s):
+        """Run a scenario and print its figures; return whether all held."""
         fault = scenarios.named(name)
         result = command.run(runs.run(plan, seconds, fault, seed, pause_s))
         found = runs.figures(result, plan)
-        print(" ".join(f"{name}={value}" for name, value in found.items()))
+        print(" ".join(f"{key}={value}" for key, value in found.items()), flush=True)
         if result.unclean:
             print(f"not ended cleanly: {' '.join(result.unclean)}", file=sys.stderr)
         if result.findings.total() or result.unclean:
             print(f"logs and history: {result.directory}", file=sys.stderr)
-            sys.exit(1)
+            return False
+        return True
 
     def bench(self, idle=1000):
         """Measure latency, throughput and memory of one entry instance.
@@ -69,6 +96,41 @@
                 if plots:
                     capacity.plot(f"{plots}/capacity-{title}.png", title, rows)
 
+    def experiment(self, name, deployment="huron", count=20, baseline=None):
+        """Run rates, failovers, latencies or spread, and print a table.
+
+        Example: dfw-load experiment rates --baseline "static division"
+        """
+        if name == "rates":
+            print("| balancer | refused of inside | least served | loud of allowed |")
+            print("| --- | --- | --- | --- |")
+            for row in command.run(experiments.rates(baseline)):
+                print("| {} | {:.4f} | {:.4f} | {:.3f} |".format(*row))
+        elif name == "failovers":
+            self._failovers(deployment, count, baseline)
+        elif name == "latencies":
+            plan = plan_named(deployment)
+            found, fences = command.run(experiments.latencies(plan, baseline))
+            for kind, (p50, p99, n) in found.items():
+                print(f"{kind}: p50_ms={p50:.1f} p99_ms={p99:.1f} n={n}")
+            print(f"fence_queries_per_read={fences:.2f}")
+        elif name == "spread":
+            times = command.run(experiments.spread(plan_named(deployment), count))
+            print(f"median_s={quantile(times, 0.5):.2f} max_s={max(times):.2f}")
+        else:
+            known = "rates, failovers, latencies, spread"
+            raise UserError(f"experiment {name!r}: expected one of {known}")
+
+    def _failovers(self, deployment, count, baseline):
+        plan = plan_named(deployment)
+        gaps, found = command.run(experiments.failovers(plan, count, 1, baseline))
+        print(
+            f"failovers={len(gaps)} gap_p50_s={quantile(gaps, 0.5):.2f} "
+            f"gap_p99_s={quantile(gaps, 0.99):.2f}"
+        )
+        counts = found._asdict().items()
+        print(" ".join(f"{kind}={len(items)}" for kind, items in counts))
+
 
 def main():
     """Run the command."""
--- a/test/test_points.py
+++ b/test/test_points.py
@@ -341,6 +341,44 @@
             conn.close()
 
 
+class TestVerdicts:
+    def test_lost_answer_is_not_called_not_run(self):
+        run(self._check())
+
+    async def _check(self):
+        async with deployed() as deployment:
+            conn = await connect(deployment, "entry-1")
+            await query(conn, "CREATE TABLE orders (id INT)")
+            await query(conn, "INSERT INTO orders VALUES (0)")
+            for request_id in (None, "order-1"):
+                await self._lose_answer(deployment, conn, request_id)
+            rows = await query(conn, "SELECT id, COUNT(*) FROM orders GROUP BY id")
+            assert sorted(rows) == [(0, 1), (1, 1), (2, 1)]
+            conn.close()
+
+    async def _lose_answer(self, deployment, conn, request_id):
+        """Cut the primary's link while the answer of a write is on its way."""
+        primary = await deployment.primary("orders")
+
+        def link(source, target):
+            return (source, target) == ("entry-1", primary)
+
+        if request_id:
+            await query(conn, f"SET @dfw_request_id = '{request_id}'")
+        value = 2 if request_id else 1
+        # With a request id the statements before COMMIT take three round trips.
+        trips = 3 if request_id else 0
+        await deployment.set_links(link, delay_s=0.1)
+        writing = asyncio.create_task(
+            errno_of(query(conn, f"INSERT INTO orders VALUES ({value})"))
+        )
+        await asyncio.sleep(0.2 * trips + 0.15)
+        await deployment.set_links(link, mode="cut", delay_s=0.0)
+        await asyncio.sleep(0.1)
+        await deployment.set_links(link, mode="ok")
+        assert await writing == (0 if request_id else 9130)
+
+
 class TestLeavingDatabase:
     def test_receives_no_new_work(self):
         run(self._check())
