Give loans back early and ask for shares on demand

Cause of refusals inside the rate (dfw-load experiment rates, 9 instances): demand was smoothed once for lending and borrowing, so Poisson noise made instances lend what they needed a moment later (even balancer), and loans stayed for 2 s with an instance that traffic had left (shifting balancer).

--- a/dragonflywing/callers.py
+++ b/dragonflywing/callers.py
@@ -40,6 +40,7 @@
     def __init__(self, now):
         self.conn = None
         self.backend = None
+        self.group = None
         self.aborted = False
         self.used_at = now
         self.request_id = None
@@ -81,6 +82,7 @@
         self.auto = True
         self.route = ""
         self.request_id = None
+        self.has_token = False
 
     async def use(self, database):
         workspace, _ = self.caller()
@@ -166,11 +168,11 @@
         if kind is Kind.ROLLBACK:
             return await self._rollback(deadline)
         if kind is Kind.COMMIT:
-            return await self._commit(workspace, deadline, request_id)
+            return await self._commit(deadline, request_id)
         group = self.entry.groups[cfg.workspaces[workspace].group]
         group.use()
         if kind is Kind.BEGIN:
-            await self._commit(workspace, deadline, None)
+            await self._commit(deadline, None)
             self._start_transaction(request_id)
             return Result()
         is_open = self.caller()[0] is None
@@ -180,9 +182,8 @@
         if self.transaction is not None:
             return await self._in_transaction(group, workspace, sql, kind, deadline)
         if kind is Kind.READ:
-            max_age_s = (
-                cfg.routes[route].max_age_ms / 1000 if route in cfg.routes else 0
-            )
+            spec = cfg.routes.get(route)
+            max_age_s = spec.max_age_ms / 1000 if spec else 0
             return await self._read(group, workspace, sql, max_age_s, deadline)
         self.request_id = None
         return await self._write(group, workspace, sql, request_id, deadline)
@@ -190,6 +191,9 @@
     # Settings
 
     def _set_token(self, text):
+        if not text:
+            self.has_token = False
+            return
         try:
             token = decode_token(text)
         except ValueError:
@@ -204,8 +208,7 @@
             if name == "autocommit":
                 self.auto = value.lower() in ("1", "on", "true")
                 if self.auto and self.transaction is not None:
-                    workspace, _ = self.caller()
-                    await self._commit(workspace, deadline, None)
+                    await self._commit(deadline, None)
             elif name == "@dfw_session_token":
                 self._set_token(value)
             elif name == "@dfw_route":
@@ -471,6 +474,8 @@
             conn.in_transaction = True
             self.transaction.conn = conn
             self.transaction.backend = backend
+            self.transaction.group = group
+            self.entry.transactions.add(self)
             return
 
     async def _abort(self, transaction):
@@ -480,8 +485,14 @@
             transaction.backend.release(transaction.conn, False)
             transaction.conn = None
 
-    async def _abandon(self):
+    def _end_transaction(self):
+        """Take the transaction off the session and return it."""
         transaction, self.transaction = self.transaction, None
+        self.entry.transactions.discard(self)
+        return transaction
+
+    async def _abandon(self):
+        transaction = self._end_transaction()
         if transaction is not None:
             await self._abort(transaction)
 
@@ -495,7 +506,7 @@
             await self._abort(transaction)
 
     async def _rollback(self, deadline):
-        transaction, self.transaction = self.transaction, None
+        transaction = self._end_transaction()
         self.request_id = None
         if transaction is None or transaction.conn is None:
             return Result()
@@ -509,8 +520,8 @@
             backend.release(conn, not conn.in_transaction)
         return Result()
 
-    async def _commit(self, workspace, deadline, request_id):
-        transaction, self.transaction = self.transaction, None
+    async def _commit(self, deadline, request_id):
+        transaction = self._end_transaction()
         if transaction is None:
             return Result()
         self.request_id = None
@@ -519,8 +530,7 @@
         if transaction.conn is None:
             return Result()
         request_id = transaction.request_id or request_id
-        cfg = self.entry.versions.cfg
-        group = self.entry.groups[cfg.workspaces[workspace].group]
+        group = transaction.group
         conn, backend = transaction.conn, transaction.backend
         try:
             result = await self._commit_on(transaction, request_id, deadline)
--- a/dragonflywing/decisions/membership.py
+++ b/dragonflywing/decisions/membership.py
@@ -7,6 +7,8 @@
 MEMBERS_PER_MESSAGE = 24
 # Instances of a data centre that watch the store for all of it.
 WATCHERS = 2
+# Instances of a data centre that probe a group whether or not they use it.
+PROBERS = 2
 
 
 class Member(NamedTuple):
@@ -75,8 +77,18 @@
     return [state.me, *rng.sample(others, count)]
 
 
-def _rank(instance):
-    return hashlib.sha256(instance.encode()).digest()
+def order(subject, instances):
+    """Return instances in an order that all agree on, another for each subject."""
+
+    def weight(instance):
+        return hashlib.sha256(f"{subject}/{instance}".encode()).digest()
+
+    return sorted(set(instances), key=weight)
+
+
+def rank(subject, instance, others):
+    """Return the place of an instance among itself and the others, from 0."""
+    return order(subject, [instance, *others]).index(instance)
 
 
 def is_watcher(state, now, timeout_s):
@@ -88,5 +100,4 @@
         and member.store_ok
         and not member.leaving
     ]
-    ranked = sorted([state.me.instance, *rivals], key=_rank)
-    return state.me.instance in ranked[:WATCHERS]
+    return rank("watcher", state.me.instance, rivals) < WATCHERS
--- a/dragonflywing/decisions/shares.py
+++ b/dragonflywing/decisions/shares.py
@@ -10,22 +10,31 @@
 Shares are fractions of a workspace's whole rate and burst.
 """
 
+import math
 from typing import NamedTuple
 
 # Time that a loan lasts, in seconds.
 LOAN_S = 2.0
 # A loan is extended once this share of its time has passed.
 EXTEND_AFTER = 0.5
-# Weight of the demand seen in the latest period, and the period in seconds.
-DEMAND_WEIGHT = 0.2
+# Ids of ended loans are remembered for this long, in seconds.
+FORGET_S = 20.0
+# Weights of the demand seen in the latest period, and the period in seconds.
+FAST_WEIGHT = 0.5
+SLOW_WEIGHT = 0.05
 DEMAND_PERIOD_S = 0.1
-# A lender keeps this many times its own demand, and this part of its slot.
-LENDER_MARGIN = 1.3
+# Demand below this is none, in statements per second.
+LEAST_DEMAND = 0.01
+# Arrivals vary by the root of their number; so many roots are kept in reserve.
+RESERVE_ROOTS = 2.0
+# A lender keeps this part of its slot.
 KEPT_PART = 0.15
+# Time in which waiting requests should be served, in seconds.
+DRAIN_S = 0.2
+# A loan is kept at least this long before it is given back, in seconds.
+LEAST_LOAN_S = 0.3
 # A borrower asks only when its tokens last for less than this, in seconds.
 LOW_WATER_S = 0.5
-# A borrower asks for this many times its unmet demand.
-BORROWER_MARGIN = 1.3
 # Loans below this share are not worth a message.
 LEAST_LOAN = 0.002
 # Least burst that an instance with demand needs, in statements.
@@ -57,6 +66,14 @@
     tokens: float
 
 
+class LoanReturn(NamedTuple):
+    """Give a loan back before its end, with tokens that it left over."""
+
+    loan_id: str
+    workspace: str
+    tokens: float
+
+
 class Bucket:
     """One instance's part of a workspace's rate and burst."""
 
@@ -68,7 +85,9 @@
         self.lent = {}
         self.borrowed = {}
         self.arrivals = 0
-        self.demand = 0.0
+        self.waiting = 0
+        self.fast_demand = 0.0
+        self.slow_demand = 0.0
         self.demand_at = now
 
 
@@ -81,7 +100,10 @@
         self.refill_from = 0.0
         self.valid_until = 0.0
         self.buckets = {}
+        # Workspaces with demand or borrowed shares; only these need attention.
+        self.active = set()
         self.answered = {}
+        self.returned = {}
 
 
 def take_slot(state, now, valid_until):
@@ -110,6 +132,7 @@
     """Take the rate and burst of every workspace: {name: (rate, burst)}."""
     for name in [name for name in state.buckets if name not in limits]:
         del state.buckets[name]
+        state.active.discard(name)
     for name, (rate, burst) in limits.items():
         bucket = state.buckets.get(name)
         if bucket is None:
@@ -164,8 +187,8 @@
 
 def arrive(state, now, workspace):
     """Count a request for the estimate of demand."""
-    bucket = state.buckets[workspace]
-    bucket.arrivals += 1
+    state.buckets[workspace].arrivals += 1
+    state.active.add(workspace)
 
 
 def admit(state, now, workspace):
@@ -185,43 +208,58 @@
 
 
 def measure_demand(state, now):
-    """Update every workspace's estimate of arrivals per second."""
-    for bucket in state.buckets.values():
-        elapsed = now - bucket.demand_at
-        if elapsed < DEMAND_PERIOD_S:
+    """Update the estimates of arrivals per second of active workspaces."""
+    for name in list(state.active):
+        bucket = state.buckets[name]
+        if now - bucket.demand_at < DEMAND_PERIOD_S:
             continue
+        # After idleness the arrivals are those of the latest period.
+        elapsed = min(now - bucket.demand_at, 2 * DEMAND_PERIOD_S)
         seen = bucket.arrivals / elapsed
-        bucket.demand += DEMAND_WEIGHT * (seen - bucket.demand)
+        bucket.fast_demand += FAST_WEIGHT * (seen - bucket.fast_demand)
+        bucket.slow_demand += SLOW_WEIGHT * (seen - bucket.slow_demand)
         bucket.arrivals = 0
         bucket.demand_at = now
+        demand = max(bucket.fast_demand, bucket.slow_demand)
+        if demand < LEAST_DEMAND and not bucket.borrowed:
+            bucket.fast_demand = bucket.slow_demand = 0.0
+            state.active.discard(name)
 
 
-def spare(state, now):
-    """Return the share of each workspace that this instance could lend."""
-    found = {}
-    for name, bucket in state.buckets.items():
-        needed = LENDER_MARGIN * bucket.demand / bucket.rate
-        lent = sum(loan.share for loan in bucket.lent.values() if loan.until > now)
-        # Borrowed shares are not lent on, so only the own slot counts.
-        own = _own_share(state, now)
-        free = own * (1 - KEPT_PART) - lent - needed
-        if free >= LEAST_LOAN:
-            found[name] = free
-    return found
+def _with_reserve(demand):
+    return demand + RESERVE_ROOTS * math.sqrt(demand)
+
+
+def spare(state, now, workspace):
+    """Return the share of a workspace that this instance could lend."""
+    bucket = state.buckets[workspace]
+    demand = max(bucket.fast_demand, bucket.slow_demand)
+    needed = _with_reserve(demand) / bucket.rate
+    lent = sum(loan.share for loan in bucket.lent.values() if loan.until > now)
+    # Borrowed shares are not lent on, so only the own slot counts.
+    own = _own_share(state, now)
+    return max(0.0, min(own * (1 - KEPT_PART), own - needed) - lent)
+
+
+def _needed_share(bucket):
+    waiting = bucket.waiting / DRAIN_S
+    needed = (_with_reserve(bucket.fast_demand) + waiting) / bucket.rate
+    # Less than the burst of two statements would serve nothing.
+    needed = max(needed, LEAST_BURST / bucket.burst, LEAST_LOAN)
+    # A workspace needs no more than its whole share.
+    return min(needed, 1.0)
 
 
 def wanted(state, now):
     """Return the share of each workspace that this instance should borrow."""
     found = {}
-    for name, bucket in state.buckets.items():
-        needed = BORROWER_MARGIN * bucket.demand / bucket.rate
-        if bucket.tokens > bucket.demand * LOW_WATER_S and bucket.tokens >= 1:
+    for name in state.active:
+        bucket = state.buckets[name]
+        demand = max(bucket.fast_demand, bucket.waiting)
+        if bucket.tokens > demand * LOW_WATER_S and bucket.tokens >= 1:
             continue
-        # A workspace needs no more than its whole share.
-        # Less than the burst of two statements would serve nothing.
-        needed = max(needed, LEAST_BURST / bucket.burst, LEAST_LOAN)
-        missing = min(needed, 1.0) - share(state, bucket, now)
-        if missing >= LEAST_LOAN and bucket.demand > 0:
+        missing = _needed_share(bucket) - share(state, bucket, now)
+        if missing >= LEAST_LOAN and demand > 0:
             found[name] = missing
     return found
 
@@ -229,9 +267,10 @@
 def loans_to_extend(state, now):
     """Return requests for the borrowed shares that are still needed."""
     requests = []
-    for name, bucket in state.buckets.items():
-        surplus = share(state, bucket, now)
-        surplus -= BORROWER_MARGIN * bucket.demand / bucket.rate
+    for name in state.active:
+        bucket = state.buckets[name]
+        demand = max(bucket.fast_demand, bucket.slow_demand)
+        surplus = share(state, bucket, now) - _with_reserve(demand) / bucket.rate
         for loan in bucket.borrowed.values():
             if loan.until <= now or loan.until - now > LOAN_S * (1 - EXTEND_AFTER):
                 continue
@@ -242,6 +281,50 @@
     return requests
 
 
+def loans_to_return(state, now):
+    """Stop using the borrowed shares that are not needed; return the messages."""
+    messages = []
+    for name in state.active:
+        bucket = state.buckets[name]
+        if not bucket.borrowed:
+            continue
+        _advance(state, bucket, now)
+        surplus = share(state, bucket, now) - _needed_share(bucket)
+        for loan in list(bucket.borrowed.values()):
+            is_young = loan.until - now > LOAN_S - LEAST_LOAN_S
+            if is_young or surplus < loan.share:
+                continue
+            surplus -= loan.share
+            messages.append(give_back(state, now, name, loan.loan_id))
+    return messages
+
+
+def give_back(state, now, workspace, loan_id):
+    """Stop using a borrowed share; return the message, None if it has ended."""
+    bucket = state.buckets[workspace]
+    _advance(state, bucket, now)
+    if bucket.borrowed.pop(loan_id, None) is None:
+        return None
+    # An answer that is still on its way must not start the loan again.
+    state.returned[loan_id] = now
+    _forget_old(state.returned, now)
+    tokens = max(0.0, bucket.tokens - _cap(state, bucket, now))
+    bucket.tokens -= tokens
+    return LoanReturn(loan_id, workspace, tokens)
+
+
+def take_back(state, now, message):
+    """Use a share again that a borrower has given back; repeats are ignored."""
+    bucket = state.buckets.get(message.workspace)
+    if bucket is None:
+        return
+    _advance(state, bucket, now)
+    if bucket.lent.pop(message.loan_id, None) is None:
+        return
+    cap = _cap(state, bucket, now)
+    bucket.tokens = min(bucket.tokens + message.tokens, cap)
+
+
 def lend(state, now, request):
     """Give up a share for LOAN_S and return the answer for the borrower."""
     bucket = state.buckets.get(request.workspace)
@@ -255,12 +338,12 @@
     if held is not None:
         bucket.lent[request.loan_id] = held._replace(until=now + LOAN_S)
         return BorrowAnswer(request.loan_id, request.workspace, held.share, 0.0)
-    _forget_answered(state, now)
+    _forget_old(state.answered, now)
     # A repeated request whose loan has ended must not start it again.
     if request.loan_id in state.answered or now < state.refill_from:
         return BorrowAnswer(request.loan_id, request.workspace, 0.0, 0.0)
     state.answered[request.loan_id] = now
-    free = spare(state, now).get(request.workspace, 0.0)
+    free = spare(state, now, request.workspace)
     part = min(free, request.share)
     if part < LEAST_LOAN:
         return BorrowAnswer(request.loan_id, request.workspace, 0.0, 0.0)
@@ -271,10 +354,10 @@
     return BorrowAnswer(request.loan_id, request.workspace, part, tokens)
 
 
-def _forget_answered(state, now):
-    old = [key for key, at in state.answered.items() if at < now - 10 * LOAN_S]
+def _forget_old(times, now):
+    old = [key for key, at in times.items() if at < now - FORGET_S]
     for key in old:
-        del state.answered[key]
+        del times[key]
 
 
 def borrow(state, now, answer, asked_at):
@@ -283,6 +366,8 @@
     until = asked_at + LOAN_S
     if bucket is None or answer.share <= 0 or until <= now:
         return
+    if answer.loan_id in state.returned:
+        return
     _advance(state, bucket, now)
     held = bucket.borrowed.get(answer.loan_id)
     if held is not None:
--- a/dragonflywing/entry.py
+++ b/dragonflywing/entry.py
@@ -35,6 +35,7 @@
         self.versions = versions.VersionState()
         self.statements = StatementCache()
         self.retry_budget = retries.RetryBudget()
+        self.transactions = set()
         self.groups = {}
         self.group_tasks = {}
         self.store = Store(cfg.store, self.metrics)
@@ -58,11 +59,9 @@
         self._connect_fleet()
 
     def _connect_fleet(self):
-        self.fleet.spare = lambda: shares.spare(
-            self.limiter.state, asyncio.get_running_loop().time()
-        )
         self.fleet.suspects_group = self._suspects
         self.fleet.lend = self._lend
+        self.fleet.take_back = self._take_back
         self.fleet.report_json = self.report_json
 
     def _suspects(self, group, term):
@@ -75,6 +74,11 @@
         )
         return idl.LoanAnswer(**answer._asdict())
 
+    def _take_back(self, message):
+        self.limiter.take_back(
+            shares.LoanReturn(message.loan_id, message.workspace, message.tokens)
+        )
+
     def count_error(self, exc):
         """Count an error that a caller was answered."""
         self.metrics.count(f"refused.{exc.code.reason}")
@@ -113,17 +117,20 @@
         self.group_tasks.pop(name).cancel()
 
     def _check_key(self, conn, cfg):
-        """End a connection whose key was withdrawn, unless it is in a statement."""
-        if conn.session.username is None:
+        """End a connection whose key was withdrawn, after a running statement."""
+        if conn.session.username is None or conn not in self.callers.connections:
             return
         workspace, key_id = conn.session.caller()
         if workspace is None or identity.is_valid(cfg, workspace, key_id):
             return
+        loop = asyncio.get_running_loop()
+        if conn.session.busy:
+            loop.call_later(SWEEP_S, self._check_key, conn, cfg)
+            return
         self.metrics.count("caller.key_withdrawn")
         logs.event("key_withdrawn", workspace=workspace, key_id=key_id)
-        if not conn.session.busy:
-            conn.say_goodbye(DfwError(errors.KEY_WITHDRAWN, "the key was withdrawn"))
-            asyncio.get_running_loop().call_later(LINGER_S, conn.task.cancel)
+        conn.say_goodbye(DfwError(errors.KEY_WITHDRAWN, "the key was withdrawn"))
+        loop.call_later(LINGER_S, conn.task.cancel)
 
     # Shutdown
 
@@ -162,8 +169,8 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             now = asyncio.get_running_loop().time()
-            for conn in list(self.callers.connections):
-                await conn.session.abort_idle(now, self.cfg.times.transaction_idle_s)
+            for session in list(self.transactions):
+                await session.abort_idle(now, self.cfg.times.transaction_idle_s)
 
     async def run(self):
         """Serve until the supervisor is cancelled or told to drain."""
--- a/dragonflywing/fleet.py
+++ b/dragonflywing/fleet.py
@@ -11,12 +11,19 @@
 
 # Peers told at once of a new configuration.
 PUSH_FANOUT = 4
-# Instances of each other data centre asked for their suspicion.
-VOTERS_PER_DATA_CENTRE = 2
+# How long an instance that had nothing to lend is not asked again, in seconds.
+DECLINED_S = 0.3
 # Every how many exchanges one goes to another data centre.
 FAR_EXCHANGE = 3
 
 
+def _probers(group, members):
+    """Return the members of one data centre that probe a group for it."""
+    by_name = {member.instance: member for member in members}
+    names = membership.order(group, by_name)[: membership.PROBERS]
+    return [by_name[name] for name in names]
+
+
 class Fleet:
     """What this instance knows of the others, and its calls to them."""
 
@@ -37,10 +44,10 @@
         self.members = membership.MemberState(me)
         self.leaving = False
         self.store_ok = False
-        self.spare_of = {}
-        self.spare = dict
+        self._declined = {}
         self.suspects_group = lambda group, term: False
         self.lend = None
+        self.take_back = None
         self.report_json = lambda: "{}"
         self._clients = {}
         self._tasks = set()
@@ -96,7 +103,6 @@
             members=[idl.MemberRecord(**record._asdict()) for record in records],
             config_version=versions.version(self.versions),
             config_age=min(age, 1e9),
-            spare=self.spare(),
         )
 
     def take(self, digest, address=None):
@@ -106,7 +112,6 @@
         members = [Member(*[getattr(r, f) for f in fields]) for r in digest.members]
         membership.merge(self.members, now, members)
         sender = members[0]
-        self.spare_of[sender.instance] = dict(digest.spare)
         mine = versions.version(self.versions)
         if digest.config_version > mine:
             self._spawn(self._fetch(sender.address, sender.instance))
@@ -199,8 +204,7 @@
         by_place.pop(self.cfg.data_centre, None)
         calls = []
         for place, members in by_place.items():
-            count = min(len(members), VOTERS_PER_DATA_CENTRE)
-            for member in random.sample(members, count):
+            for member in _probers(group, members):
                 calls.append(self._vote(place, member, group, term))
         answers = await asyncio.gather(*calls)
         return {place for place, vote in answers if vote}
@@ -210,22 +214,20 @@
         vote = await client.call("suspects", group, term, timeout_s=0.4)
         return place, bool(vote)
 
-    def lenders(self, workspace):
-        """Return (instance, share) of who could lend, the greatest share first."""
-        alive = {member.instance for member in self.alive() if not member.leaving}
-        offers = [
-            (instance, spare.get(workspace, 0.0))
-            for instance, spare in self.spare_of.items()
-            if instance in alive
+    def lenders(self, workspace, count):
+        """Return some live instances that have not declined to lend lately."""
+        now = self._now()
+        able = [
+            member.instance
+            for member in self.alive()
+            if not member.leaving
+            and self._declined.get((member.instance, workspace), 0.0) <= now
         ]
-        offers = [item for item in offers if item[1] >= shares.LEAST_LOAN]
-        return sorted(offers, key=lambda item: -item[1])
+        return random.sample(able, min(count, len(able)))
 
-    def note_lent(self, lender, workspace, share):
-        """Reduce what a lender is thought to have to spare."""
-        spare = self.spare_of.get(lender, {})
-        if workspace in spare:
-            spare[workspace] = max(0.0, spare[workspace] - share) if share else 0.0
+    def note_declined(self, lender, workspace):
+        """Leave an instance out for a while after it had nothing to lend."""
+        self._declined[(lender, workspace)] = self._now() + DECLINED_S
 
     async def borrow(self, lender, request):
         """Ask a peer for a share; return its answer, or None."""
@@ -241,6 +243,14 @@
             answer.loan_id, answer.workspace, answer.share, answer.tokens
         )
 
+    async def give_back(self, lender, message):
+        """Tell a peer that a loan is over before its time."""
+        member = self.members.members.get(lender)
+        if member is not None:
+            await self._client(member.address, lender).call(
+                "give_back", idl.LoanReturn(**message._asdict())
+            )
+
     def close(self):
         """Close the connections to peers."""
         for task in list(self._tasks):
--- a/dragonflywing/group.py
+++ b/dragonflywing/group.py
@@ -2,43 +2,27 @@
 
 import asyncio
 import functools
-import hashlib
 import itertools
-import json
 import random
 
 from dragonflywing import errors, logs
 from dragonflywing.backend import Backend
-from dragonflywing.decisions import acks, failover, fences, routing
-from dragonflywing.decisions.positions import ZERO, Status, majority
-from dragonflywing.errors import DfwError, StoreError, Verdict
-from dragonflywing.store import settle
+from dragonflywing.decisions import acks, failover, fences, membership, routing
+from dragonflywing.decisions.positions import Status
+from dragonflywing.errors import DfwError, Verdict
+from dragonflywing.promoter import Promoter
 from dragonflywing.supervisor import supervise
 
 # How long a replica may hold back the answer to a position query.
 WAIT_SLICE_MS = 15
 TICK_S = 0.02
 PAUSE_S = 0.002
-# Instances try a promotion one after the other, this far apart.
-RANK_DELAY_S = 0.15
-RECORD_PREFIX = "/dfw/groups/"
-# Instances of each data centre that probe a group whether or not they use it.
-PROBERS = 2
 # A group counts as in use this long after a statement, in seconds.
 USED_S = 10.0
 # Pause between probes of a group that is not in use, in seconds.
 SLOW_PROBE_S = 15.0
 
 
-def rank(group, instance, instances):
-    """Return the place of an instance in the order of promoters of a group."""
-    order = sorted(
-        {instance, *instances},
-        key=lambda name: hashlib.sha256(f"{group}/{name}".encode()).digest(),
-    )
-    return order.index(instance)
-
-
 class GroupTask:
     """The databases of a group and the decisions about them."""
 
@@ -66,8 +50,7 @@
         self._tasks = set()
         self._readers = []
         self._position_wanted = asyncio.Event()
-        self._promoting = False
-        self._claim_seen = None
+        self.promoter = Promoter(self)
         self._used_until = 0.0
         self._probes_fast = True
         self._used = asyncio.Event()
@@ -92,13 +75,14 @@
         if status.primary and status.term >= self.term:
             self._note_primary(status.database, status.term)
             failover.see_primary(self.suspicion, self._now(), status)
-        highest = max(item.term for item in [status, *self._statuses()])
+        highest = max(item.term for item in [status, *self.statuses()])
         failover.see_term(self.suspicion, self._now(), highest)
-        stored = failover.stored_by_majority(self._statuses(), self.size)
+        stored = failover.stored_by_majority(self.statuses(), self.size)
         if stored is not None:
             failover.see_stored(self.suspicion, self._now(), stored)
 
-    def _statuses(self):
+    def statuses(self):
+        """Return the latest statuses of the databases that answer."""
         return [item.status for item in self.backends.values() if item.status]
 
     def _note_primary(self, database, term):
@@ -300,10 +284,11 @@
             self._used.set()
         self._probes_fast = fast
 
-    def _choose_pace(self):
+    def choose_pace(self):
         """Probe often if the group is in use here or this is one of its probers."""
         members = self.fleet.near_instances()
-        prober = rank(self.name, self.cfg.instance, members) < PROBERS
+        place = membership.rank(self.name, self.cfg.instance, members)
+        prober = place < membership.PROBERS
         self._set_fast(prober or self._now() < self._used_until)
 
     async def _probe(self, backend):
@@ -335,18 +320,13 @@
         """Tell a database that missed a promotion whom to follow."""
         if self.primary is None or backend.name == self.primary:
             return
-        if status.term < self.term:
+        known = self.backends[self.primary].status
+        behind = known is not None and status.received < known.received
+        # One that is behind in the same term may never have been told the primary.
+        if status.term < self.term or (status.term == self.term and behind):
             sql = f"SELECT dfw_follow({self.term}, '{self.primary}')"
             await backend.control(sql, self.cfg.times.probe_timeout_s)
             self.metrics.count("repair.follow")
-        elif status.term == self.term and status.received < self._floor_of_repair():
-            # Accepted the term, but was never told the primary.
-            sql = f"SELECT dfw_follow({self.term}, '{self.primary}')"
-            await backend.control(sql, self.cfg.times.probe_timeout_s)
-
-    def _floor_of_repair(self):
-        status = self.backends[self.primary].status
-        return status.received if status else ZERO
 
     def suspects(self):
         """Return whether this instance wants another primary."""
@@ -366,165 +346,9 @@
         ]
         return len(staying) >= failover.quorum_without_leaving(self.size)
 
-    async def _watch_primary(self):
-        while True:
-            await asyncio.sleep(self.cfg.times.probe_s / 2)
-            self._choose_pace()
-            if not self.suspects() or self._promoting:
-                continue
-            term = self.term
-            place = rank(self.name, self.cfg.instance, self.fleet.instances())
-            await asyncio.sleep(min(place, 6) * RANK_DELAY_S * random.uniform(0.8, 1.2))
-            if not self.suspects() or self.term != term:
-                continue
-            if not self._reaches_majority() or not await self._is_confirmed():
-                self.metrics.count("promotion.not_confirmed")
-                continue
-            self._promoting = True
-            try:
-                await self._promote()
-            finally:
-                self._promoting = False
-
-    def _reaches_majority(self):
-        """Return whether a majority of databases has answered lately."""
-        oldest = self._now() - self.cfg.times.suspect_s
-        fresh = [
-            item
-            for item in self.backends.values()
-            if item.status and item.status_at >= oldest
-        ]
-        return len(fresh) >= majority(self.size)
-
-    async def _is_confirmed(self):
-        """Return whether a majority of the group's data centres suspect as well."""
-        places = {item.data_centre for item in self.spec.databases.values()}
-        places.add(self.cfg.data_centre)
-        suspecting = {self.cfg.data_centre}
-        suspecting |= await self.fleet.suspecting(self.name, self.term)
-        return len(suspecting & places) >= majority(len(places))
-
-    async def _promote(self):
-        try:
-            claim = await self._claim_term()
-        except StoreError as exc:
-            self.metrics.count("promotion.store_failed")
-            logs.warn("promotion_failed", group=self.name, error=str(exc))
-            return
-        if claim is None:
-            self.metrics.count("promotion.claim_lost")
-            return
-        logs.event("promotion_started", group=self.name, term=claim)
-        self.metrics.count("promotion.started")
-        state = failover.Promotion(
-            self.backends, claim, self._now(), self.cfg.times.promote_timeout_s
-        )
-        failover.start(state)
-        await self._run_promotion(state)
-
-    async def _claim_term(self):
-        """Write a new term to the group's record; return it, or None if raced."""
-        key = RECORD_PREFIX + self.name
-        entry = await self.store.get(key)
-        record = json.loads(entry.value) if entry else {"term": 0}
-        if record["term"] > self.term and self._is_recent(record):
-            # Another promoter is at work or done; a dead one is overtaken later.
-            return None
-        known = max([self.term, *[status.term for status in self._statuses()]])
-        term = max(record["term"], known) + 1
-        mark = f"{self.cfg.instance}/{random.getrandbits(64):x}"
-        value = json.dumps({"term": term, "state": "electing", "id": mark})
-        revision = entry.mod_revision if entry else 0
-
-        async def check():
-            now = await self.store.get(key)
-            return bool(now) and json.loads(now.value).get("id") == mark
-
-        won = await settle(
-            lambda: self.store.swap(key, value, revision), check, attempts=2
-        )
-        return term if won else None
-
-    def _is_recent(self, record):
-        """Return whether a record was first seen less than a promotion ago."""
-        now = self._now()
-        seen = self._claim_seen
-        if seen is None or seen[0] != record["term"]:
-            self._claim_seen = (record["term"], now)
-            return True
-        return now - seen[1] < self.cfg.times.promote_timeout_s
-
-    async def _run_promotion(self, state):
-        loop = asyncio.get_running_loop()
-        inbox = asyncio.Queue()
-        steps = failover.claimed(state, True)
-        loop.call_at(state.deadline, inbox.put_nowait, ("expire", None, None))
-        while True:
-            for step in steps:
-                if isinstance(step, failover.Finished):
-                    self._finish_promotion(state, step)
-                    return
-                self._spawn(self._run_step(step, inbox))
-            kind, database, answer = await inbox.get()
-            if kind == "accept":
-                steps = failover.accepted(state, database, answer)
-            elif kind == "promote":
-                steps = failover.promoted(state, answer)
-            elif kind == "record":
-                steps = failover.recorded(state)
-            else:
-                steps = failover.expire(state, self._now())
-
-    async def _run_step(self, step, inbox):
-        timeout_s = self.cfg.times.promote_timeout_s
-        if isinstance(step, failover.AcceptTerm):
-            status = await self._tell(
-                step.database, f"SELECT dfw_accept_term({step.term})", timeout_s
-            )
-            if status and self.backends[step.database].is_leaving():
-                status = status._replace(leaving=True)
-            inbox.put_nowait(("accept", step.database, status))
-        elif isinstance(step, failover.Promote):
-            status = await self._tell(
-                step.database, f"SELECT dfw_promote({step.term})", timeout_s
-            )
-            done = bool(status and status.primary and status.term == step.term)
-            if done:
-                self.note_status(status)
-            inbox.put_nowait(("promote", step.database, done))
-        elif isinstance(step, failover.Follow):
-            sql = f"SELECT dfw_follow({step.term}, '{step.primary}')"
-            await self._tell(step.database, sql, timeout_s)
-        elif isinstance(step, failover.Record):
-            await self._record(step)
-            inbox.put_nowait(("record", None, None))
-
-    async def _tell(self, database, sql, timeout_s):
-        return await self.backends[database].control(sql, timeout_s)
-
-    async def _record(self, step):
-        key = RECORD_PREFIX + self.name
-        try:
-            entry = await self.store.get(key)
-            if entry and json.loads(entry.value)["term"] == step.term:
-                record = {"term": step.term, "primary": step.primary, "state": "active"}
-                await self.store.swap(key, json.dumps(record), entry.mod_revision)
-        except StoreError:
-            self.metrics.count("promotion.record_failed")
-
-    def _finish_promotion(self, state, step):
-        logs.event(
-            "promotion_finished",
-            group=self.name,
-            term=state.term,
-            primary=step.primary,
-            reason=step.reason,
-        )
-        self.metrics.count(f"promotion.{step.reason}")
-
     async def run(self):
         """Serve the group until cancelled."""
-        jobs = [("tick", self._tick), ("watch", self._watch_primary)]
+        jobs = [("tick", self._tick), ("promoter", self.promoter.run)]
         for backend in self.backends.values():
             jobs += [
                 ("expire", backend.expire),
--- a/dragonflywing/limiter.py
+++ b/dragonflywing/limiter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from collections import deque
 
 from dragonflywing import errors
@@ -11,7 +12,7 @@
 TICK_S = 0.01
 LOAN_PERIOD_S = 0.05
 # Peers asked for one workspace's shares at a time.
-LENDERS_ASKED = 4
+LENDERS_ASKED = 8
 
 
 class Limiter:
@@ -42,9 +43,10 @@
         """Return once the workspace may run one statement; refuse if not soon."""
         now = self._now()
         shares.arrive(self.state, now, workspace)
-        queue = self._queues.setdefault(workspace, deque())
+        queue = self._queues.get(workspace)
         if not queue and shares.admit(self.state, now, workspace):
             return
+        queue = self._queues.setdefault(workspace, deque())
         self.metrics.count("rate.waited")
         fut = asyncio.get_running_loop().create_future()
         queue.append((fut, now + self.cfg.times.rate_wait_s))
@@ -72,13 +74,15 @@
         """Serve waiting requests and move shares until cancelled."""
         next_loans = self._now()
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_S if self._queues else LOAN_PERIOD_S)
             now = self._now()
-            for workspace, queue in self._queues.items():
+            for workspace, queue in list(self._queues.items()):
                 self._serve_queue(now, workspace, queue)
-            shares.measure_demand(self.state, now)
+                if not queue:
+                    del self._queues[workspace]
             if now >= next_loans:
                 next_loans = now + LOAN_PERIOD_S
+                shares.measure_demand(self.state, now)
                 self._move_shares(now)
 
     def _spawn(self, coroutine):
@@ -87,18 +91,23 @@
         task.add_done_callback(self._tasks.discard)
 
     def _move_shares(self, now):
+        for workspace in self.state.active:
+            waiting = len(self._queues.get(workspace, ()))
+            self.state.buckets[workspace].waiting = waiting
+        for message in shares.loans_to_return(self.state, now):
+            self.metrics.count("shares.returned")
+            lender = message.loan_id.split("/")[0]
+            self._spawn(self.fleet.give_back(lender, message))
         for request in shares.loans_to_extend(self.state, now):
             lender = request.loan_id.split("/")[0]
             self._ask(lender, request)
         for workspace, missing in shares.wanted(self.state, now).items():
-            lenders = self.fleet.lenders(workspace)[:LENDERS_ASKED]
-            for lender, offered in lenders:
-                if missing < shares.LEAST_LOAN:
-                    break
-                part = min(missing, offered)
+            # No instance can lend more than its slot.
+            part = min(missing, 1.0 / self.state.slots)
+            count = min(LENDERS_ASKED, math.ceil(missing / part))
+            for lender in self.fleet.lenders(workspace, count):
                 loan_id = f"{lender}/{self.cfg.instance}/{next(self._ids)}/{now:.3f}"
                 self._ask(lender, shares.BorrowRequest(loan_id, workspace, part))
-                missing -= part
 
     def _ask(self, lender, request):
         # One question at a time to each lender for each workspace.
@@ -118,8 +127,15 @@
             self.metrics.count("shares.unanswered")
             return
         shares.borrow(self.state, self._now(), answer, asked_at)
-        self.fleet.note_lent(lender, request.workspace, answer.share)
-        self.metrics.count("shares.borrowed" if answer.share else "shares.declined")
+        if answer.share:
+            self.metrics.count("shares.borrowed")
+        else:
+            self.fleet.note_declined(lender, request.workspace)
+            self.metrics.count("shares.declined")
+
+    def take_back(self, message):
+        """Use a share again that a peer gives back."""
+        shares.take_back(self.state, self._now(), message)
 
     def lend(self, request):
         """Answer a peer that wants to borrow."""
--- a/dragonflywing/load/experiments.py
+++ b/dragonflywing/load/experiments.py
@@ -54,6 +54,8 @@
         self.pools = {}
         self.asked = Counter()
         self.served = Counter()
+        self.served_in_time = Counter()
+        self.end = float("inf")
         self.reasons = Counter()
 
     async def _one(self, workspace, entry):
@@ -68,6 +70,8 @@
                 conn = await bench.connect(port, workspace, key, setting)
             await conn.query("SELECT 1")
             self.served[workspace] += 1
+            if asyncio.get_running_loop().time() <= self.end:
+                self.served_in_time[workspace] += 1
         except callers.driver_errors.MySQLError as exc:
             self.reasons[(workspace, exc.args[0])] += 1
             if not str(exc.args[-1]).startswith("["):
@@ -105,6 +109,7 @@
             load = RateLoad(deployment, balancer, seed)
             loop = asyncio.get_running_loop()
             end = loop.time() + RATE_RUN_S
+            load.end = end
             sends = [load.send(name, RATE * INSIDE, end) for name in QUIET]
             await asyncio.gather(*sends, load.send("loud", RATE * LOUD, end))
             asked = sum(load.asked[name] for name in QUIET)
@@ -112,7 +117,12 @@
             least = min(load.served[name] / load.asked[name] for name in QUIET)
             allowed = RATE * RATE_RUN_S + BURST
             rows.append(
-                (balancer, 1 - served / asked, least, load.served["loud"] / allowed)
+                (
+                    balancer,
+                    1 - served / asked,
+                    least,
+                    load.served_in_time["loud"] / allowed,
+                )
             )
             load.close()
             await asyncio.sleep(2.5)
--- a/dragonflywing/peer.thrift
+++ b/dragonflywing/peer.thrift
@@ -15,8 +15,6 @@
   1: list<MemberRecord> members,
   2: i64 config_version,
   3: double config_age,
-  // Share of each workspace that the sender could lend.
-  4: map<string, double> spare,
 }
 
 struct LoanRequest {
@@ -32,6 +30,12 @@
   4: double tokens,
 }
 
+struct LoanReturn {
+  1: string loan_id,
+  2: string workspace,
+  3: double tokens,
+}
+
 // What `dfw-ops status` shows of an instance, as JSON.
 struct Report {
   1: string json,
@@ -53,5 +57,6 @@
   binary configuration() throws (1: Refused refused),
   bool suspects(1: string group, 2: i64 term) throws (1: Refused refused),
   LoanAnswer borrow(1: LoanRequest request) throws (1: Refused refused),
+  bool give_back(1: LoanReturn message) throws (1: Refused refused),
   Report report() throws (1: Refused refused),
 }
--- a/dragonflywing/peers.py
+++ b/dragonflywing/peers.py
@@ -95,6 +95,12 @@
         self._check()
         return self.service.lend(request)
 
+    async def give_back(self, message):
+        """Take a lent share back."""
+        self._check()
+        self.service.take_back(message)
+        return True
+
     async def report(self):
         """Return the state of the instance for operators."""
         self._check()
--- a/test/decisions/test_shares.py
+++ b/test/decisions/test_shares.py
@@ -139,6 +139,16 @@
             lender = int(request.loan_id.split("/")[0])
             self.messages.append(("request", i, lender, request, clock))
 
+    @rule(i=st.integers(0, 3))
+    def give_back(self, i):
+        state = self.instances[i].state
+        clock = self.instances[i].clock(self.now)
+        for loan_id in list(state.buckets["w"].borrowed):
+            message = shares.give_back(state, clock, "w", loan_id)
+            lender = int(loan_id.split("/")[0])
+            if message is not None:
+                self.messages.append(("return", i, lender, message, clock))
+
     @rule(data=st.data(), again=st.booleans())
     def deliver(self, data, again):
         """Deliver any message in flight; it may be delivered again later."""
@@ -155,6 +165,9 @@
             lender = self.instances[j]
             answer = shares.lend(lender.state, lender.clock(self.now), body)
             self.messages.append(("answer", i, j, answer, asked_at))
+        elif kind == "return":
+            lender = self.instances[j]
+            shares.take_back(lender.state, lender.clock(self.now), body)
         else:
             borrower = self.instances[i]
             clock = borrower.clock(self.now)
