--- a/dragonflywing/backend.py
+++ b/dragonflywing/backend.py
@@ -144,6 +144,7 @@
         self._open_conns = set()
         self._waiters = {}
         self._ids = itertools.count(1)
+        self._queued = asyncio.Event()
         self._control = None
         self._control_lock = asyncio.Lock()
 
@@ -223,13 +224,15 @@
             del self._waiters[waiter]
             raise DfwError(errors.OVERLOADED, f"queue for database {self.name} is full")
         self._deliver(messages)
+        self._queued.set()
         self.outstanding += 1
         try:
             started = await fut
         except asyncio.CancelledError:
             self.outstanding -= 1
-            self._waiters.pop(waiter, None)
-            if not admission.cancel(self.admission, waiter):
+            if self._waiters.pop(waiter, None) is not None:
+                admission.cancel(self.admission, waiter)
+            elif not fut.cancelled() and fut.result():
                 self._deliver(admission.release(self.admission, self._now()))
             raise
         if not started:
@@ -359,6 +362,9 @@
     async def expire(self):
         """Refuse waiters past their deadline, until cancelled."""
         while True:
+            if not self.admission.queues:
+                self._queued.clear()
+                await self._queued.wait()
             await asyncio.sleep(EXPIRY_INTERVAL_S)
             self._deliver(admission.expire(self.admission, self._now()))
 
--- a/dragonflywing/group.py
+++ b/dragonflywing/group.py
@@ -21,6 +21,8 @@
 USED_S = 10.0
 # Pause between probes of a group that is not in use, in seconds.
 SLOW_PROBE_S = 15.0
+# Replicas are probed this many times less often than the primary.
+REPLICA_PROBE_FACTOR = 4
 
 
 class GroupTask:
@@ -50,10 +52,11 @@
         self._tasks = set()
         self._readers = []
         self._position_wanted = asyncio.Event()
+        self._deadlines = asyncio.Event()
         self.promoter = Promoter(self)
         self._used_until = 0.0
         self._probes_fast = True
-        self._used = asyncio.Event()
+        self._probe_now = asyncio.Event()
 
     def _now(self):
         return asyncio.get_running_loop().time()
@@ -97,6 +100,7 @@
         if self.primary == database:
             self.primary = None
             self.primary_seen.clear()
+            self._probe_all()
 
     async def wait_primary(self, deadline):
         """Return the primary's backend, waiting for one until the deadline."""
@@ -118,6 +122,7 @@
         waiter, fut = self._new_waiter()
         timeout_s = self.cfg.times.fence_s
         self._act_fence(fences.ask(self.fence_state, now, waiter, timeout_s))
+        self._deadlines.set()
         try:
             async with asyncio.timeout_at(deadline):
                 message = await fut
@@ -179,6 +184,7 @@
         self._deliver(acks.report(self.ack_state, own))
         self._deliver(acks.wait(self.ack_state, waiter, position, limit))
         self._position_wanted.set()
+        self._deadlines.set()
         try:
             message = await fut
         finally:
@@ -260,8 +266,12 @@
                 await asyncio.sleep(TICK_S)
             self.note_status(status)
 
-    async def _tick(self):
+    async def _expire(self):
+        """End fences and acknowledgements that are late, while there are any."""
         while True:
+            if not self.ack_state.pending and not self.fence_state.served:
+                self._deadlines.clear()
+                await self._deadlines.wait()
             await asyncio.sleep(TICK_S)
             now = self._now()
             self._deliver(acks.expire(self.ack_state, now))
@@ -281,9 +291,21 @@
         if fast and not self._probes_fast:
             # Silence counts from now on, as nothing was asked before.
             self.suspicion.seen_at = self._now()
-            self._used.set()
+            self._probe_all()
         self._probes_fast = fast
 
+    async def refresh(self):
+        """Ask every database for its status and use the answers."""
+        timeout_s = self.cfg.times.probe_timeout_s
+        found = await asyncio.gather(
+            *[
+                backend.control("SELECT dfw_status()", timeout_s)
+                for backend in self.backends.values()
+            ]
+        )
+        for status in found:
+            self.note_status(status)
+
     def choose_pace(self):
         """Probe often if the group is in use here or this is one of its probers."""
         members = self.fleet.near_instances()
@@ -303,19 +325,27 @@
                 await self._repair(backend, status)
             elif backend.name == self.primary and self.suspects():
                 self.forget_primary(backend.name)
-            pause = self.cfg.times.probe_s - (self._now() - started)
-            await asyncio.sleep(max(0.01, pause))
-            if not self._probes_fast:
-                await self._pause_slowly()
+            await self._pause(backend, started)
 
-    async def _pause_slowly(self):
-        self._used.clear()
+    async def _pause(self, backend, started):
+        """Wait until the next probe is due, or all are wanted at once."""
+        pause = self.cfg.times.probe_s
+        if not self._probes_fast:
+            pause = SLOW_PROBE_S * random.uniform(0.7, 1.0)
+        elif self.primary not in (None, backend.name):
+            # Only the primary's silence must be noticed soon.
+            pause *= REPLICA_PROBE_FACTOR
+        probe_now = self._probe_now
         try:
-            async with asyncio.timeout(SLOW_PROBE_S * random.uniform(0.7, 1.0)):
-                await self._used.wait()
+            async with asyncio.timeout(max(0.01, started + pause - self._now())):
+                await probe_now.wait()
         except TimeoutError:
             pass
 
+    def _probe_all(self):
+        self._probe_now.set()
+        self._probe_now = asyncio.Event()
+
     async def _repair(self, backend, status):
         """Tell a database that missed a promotion whom to follow."""
         if self.primary is None or backend.name == self.primary:
@@ -348,10 +378,10 @@
 
     async def run(self):
         """Serve the group until cancelled."""
-        jobs = [("tick", self._tick), ("promoter", self.promoter.run)]
+        jobs = [("expire", self._expire), ("promoter", self.promoter.run)]
         for backend in self.backends.values():
             jobs += [
-                ("expire", backend.expire),
+                ("queue", backend.expire),
                 ("probe", functools.partial(self._probe, backend)),
                 ("positions", functools.partial(self._pump_positions, backend)),
             ]
--- a/dragonflywing/limiter.py
+++ b/dragonflywing/limiter.py
@@ -27,6 +27,7 @@
         self._ids = itertools.count(1)
         self._tasks = set()
         self._asking = set()
+        self._used = asyncio.Event()
 
     def _now(self):
         return asyncio.get_running_loop().time()
@@ -43,6 +44,7 @@
         """Return once the workspace may run one statement; refuse if not soon."""
         now = self._now()
         shares.arrive(self.state, now, workspace)
+        self._used.set()
         queue = self._queues.get(workspace)
         if not queue and shares.admit(self.state, now, workspace):
             return
@@ -74,6 +76,9 @@
         """Serve waiting requests and move shares until cancelled."""
         next_loans = self._now()
         while True:
+            if not self.state.active:
+                self._used.clear()
+                await self._used.wait()
             await asyncio.sleep(TICK_S if self._queues else LOAN_PERIOD_S)
             now = self._now()
             for workspace, queue in list(self._queues.items()):
--- a/dragonflywing/load/capacity.py
+++ b/dragonflywing/load/capacity.py
@@ -63,8 +63,8 @@
     return sent, used, sum(state["calls"].values()), state["watching"]
 
 
-async def measure_fleet(instances, groups):
-    """Return the Cost of a daemon in a fleet of this size without callers."""
+async def measure_fleet(instances, groups, size):
+    """Return the Cost of a daemon in an idle fleet; `size` is what is varied."""
     deployment = Deployment(_plan(instances, groups), direct_peers=True)
     try:
         await deployment.start()
@@ -83,7 +83,7 @@
     per = 1 / (seconds * instances)
     rates = {kind: (sent_after[kind] - sent[kind]) * per / 1000 for kind in sent}
     return Cost(
-        instances if groups == 1 else groups,
+        size,
         (used_after - used) * per * 100,
         memory / instances / 1024,
         rates["peer"],
@@ -210,6 +210,6 @@
 
 async def run(instances=INSTANCES, groups=GROUPS):
     """Return the costs by fleet size and by groups."""
-    by_instances = [await measure_fleet(n, 1) for n in instances]
-    by_groups = [await measure_fleet(2, n) for n in groups]
+    by_instances = [await measure_fleet(n, 1, n) for n in instances]
+    by_groups = [await measure_fleet(2, n, n) for n in groups]
     return by_instances, by_groups
--- a/dragonflywing/load/deployment.py
+++ b/dragonflywing/load/deployment.py
@@ -172,6 +172,7 @@
         traced=False,
         direct_peers=False,
         python_path=None,
+        extra=None,
     ):
         self.plan = plan
         self.times = times or {}
@@ -181,6 +182,7 @@
         self.traced = traced
         self.direct_peers = direct_peers
         self.python_path = python_path
+        self.extra = extra or {}
         self.dir = tempfile.mkdtemp(prefix="dfw-")
         self.ports = PortPool()
         self.processes = {}
@@ -312,6 +314,7 @@
             "database": {"user": "dragonflywing", "password": DATABASE_PASSWORD},
             "addresses": addresses,
             "times": self.times,
+            **self.extra,
         }
 
     def start_entry(self, name):
--- a/dragonflywing/promoter.py
+++ b/dragonflywing/promoter.py
@@ -14,6 +14,8 @@
 RANK_DELAY_S = 0.15
 # Later places do not wait for longer than this one.
 RANK_MAX = 6
+# How often an instance finds out whether it is a prober, in seconds.
+PACE_S = 2.0
 RECORD_PREFIX = "/dfw/groups/"
 
 
@@ -35,9 +37,12 @@
 
     async def run(self):
         """Replace the primary whenever that is needed, until cancelled."""
+        next_pace = 0.0
         while True:
             await asyncio.sleep(self.cfg.times.probe_s / 2)
-            self.group.choose_pace()
+            if self._now() >= next_pace:
+                next_pace = self._now() + PACE_S
+                self.group.choose_pace()
             if not self.group.suspects():
                 continue
             term = self.group.term
@@ -47,6 +52,7 @@
             await asyncio.sleep(min(place, RANK_MAX) * RANK_DELAY_S * jitter)
             if not self.group.suspects() or self.group.term != term:
                 continue
+            await self.group.refresh()
             if not self._reaches_majority() or not await self._is_confirmed():
                 self.metrics.count("promotion.not_confirmed")
                 continue
--- a/test/test_wire.py
+++ b/test/test_wire.py
@@ -1,14 +1,24 @@
 """Bad input and real clients' needs at the protocol's server side."""
 
 import asyncio
+import ssl
 import struct
-from datetime import date
+from datetime import UTC, date, datetime, timedelta
 from decimal import Decimal
 
 import asyncmy
 import pymysql
 import pytest
 import sqlalchemy
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives.serialization import (
+    Encoding,
+    NoEncryption,
+    PrivateFormat,
+)
+from cryptography.x509.oid import NameOID
 
 from dragonflywing import wire
 from dragonflywing.load.deployment import key_of
@@ -84,6 +94,44 @@
         conn.close()
 
 
+def make_certificate(folder):
+    """Write a self-signed certificate and its key; return their paths."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "localhost")])
+    now = datetime.now(UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - timedelta(days=1))
+        .not_valid_after(now + timedelta(days=1))
+        .sign(key, hashes.SHA256())
+    )
+    certificate_path = folder / "certificate.pem"
+    certificate_path.write_bytes(certificate.public_bytes(Encoding.PEM))
+    key_path = folder / "key.pem"
+    key_path.write_bytes(
+        key.private_bytes(Encoding.PEM, PrivateFormat.PKCS8, NoEncryption())
+    )
+    return str(certificate_path), str(key_path)
+
+
+class TestTls:
+    def test_serves_callers_over_tls(self, tmp_path):
+        run(self._check(*make_certificate(tmp_path)))
+
+    async def _check(self, certificate, key):
+        extra = {"tls": {"certificate": certificate, "key": key}}
+        async with deployed(extra=extra) as deployment:
+            context = ssl.create_default_context(cafile=certificate)
+            context.check_hostname = False
+            conn = await connect(deployment, "entry-1", ssl=context)
+            assert await query(conn, "SELECT 'x'") == [("x",)]
+            conn.close()
+
+
 class TestClients:
     def test_orm_with_pymysql(self):
         run(self._check())
