--- a/dragonflywing/group.py
+++ b/dragonflywing/group.py
@@ -310,7 +310,9 @@
         """Probe often if the group is in use here or this is one of its probers."""
         members = self.fleet.near_instances()
         place = membership.rank(self.name, self.cfg.instance, members)
-        prober = place < membership.PROBERS
+        places = {item.data_centre for item in self.spec.databases.values()}
+        # Only data centres with a database of the group vote on its primary.
+        prober = place < membership.PROBERS and self.cfg.data_centre in places
         self._set_fast(prober or self._now() < self._used_until)
 
     async def _probe(self, backend):
--- a/dragonflywing/load/baselines.py
+++ b/dragonflywing/load/baselines.py
@@ -40,6 +40,16 @@
 }
 
 
+def replace_once(path, old, new):
+    """Replace a text that must stand in a file exactly once."""
+    with open(path, encoding="utf-8") as file:
+        text = file.read()
+    if text.count(old) != 1:
+        raise UserError(f"{path}: the text to replace is not there exactly once")
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(text.replace(old, new))
+
+
 def package_path(name):
     """Return a folder with a changed copy of the package, None for no change."""
     if name is None:
@@ -52,10 +62,5 @@
     copy = os.path.join(folder, "dragonflywing")
     shutil.copytree(PACKAGE, copy, ignore=ignore)
     path = os.path.join(copy, change.path)
-    with open(path, encoding="utf-8") as file:
-        text = file.read()
-    if text.count(change.old) != 1:
-        raise UserError(f"baseline {name!r}: its text is not there exactly once")
-    with open(path, "w", encoding="utf-8") as file:
-        file.write(text.replace(change.old, change.new))
+    replace_once(path, change.old, change.new)
     return folder
--- a/dragonflywing/wire.py
+++ b/dragonflywing/wire.py
@@ -130,6 +130,10 @@
     return ResultColumn(column.name, kind)
 
 
+def _columns(result):
+    return [_column(item, result.rows, i) for i, item in enumerate(result.columns)]
+
+
 def _parse_time(text):
     sign = -1 if text.startswith("-") else 1
     hours, minutes, seconds = text.lstrip("-").split(":")
@@ -341,9 +345,7 @@
         if not result.columns:
             await self._write_ok(result)
             return
-        columns = [
-            _column(column, result.rows, i) for i, column in enumerate(result.columns)
-        ]
+        columns = _columns(result)
         await self.write_text_resultset(ResultSet(result.rows, columns))
 
     async def _write_ok(self, result):
@@ -422,9 +424,7 @@
         if not result.columns:
             await self._write_ok(result)
             return
-        columns = [
-            _column(column, result.rows, i) for i, column in enumerate(result.columns)
-        ]
+        columns = _columns(result)
         await self.stream.write(uint_len(len(columns)), drain=False)
         for column in columns:
             definition = packets.make_column_definition_41(
--- a/test/helper.py
+++ b/test/helper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import selectors
 
 import aiomysql
 import uvloop
@@ -28,6 +29,34 @@
         return runner.run(coroutine)
 
 
+class AdvancingSelector(selectors.DefaultSelector):
+    """Advances a clock by the time that a loop would have slept."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1000.0
+
+    def select(self, timeout=None):
+        """Return what is ready at once; sleeping only moves the clock."""
+        events = super().select(0)
+        if not events and timeout:
+            self.now += timeout
+        return events
+
+
+def run_at_once(coroutine):
+    """Run a coroutine on a loop whose clock jumps over all waiting."""
+
+    def make_loop():
+        selector = AdvancingSelector()
+        loop = asyncio.SelectorEventLoop(selector)
+        loop.time = lambda: selector.now
+        return loop
+
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        return runner.run(coroutine)
+
+
 @contextlib.asynccontextmanager
 async def deployed(plan=SMALL, **options):
     """Start a deployment; check at the end that its processes ended cleanly."""
--- a/test/mutations.py
+++ b/test/mutations.py
@@ -12,6 +12,8 @@
 import tempfile
 from typing import NamedTuple
 
+from dragonflywing.load.baselines import replace_once
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TIMEOUT_S = 120
 TESTS_FAILED = 1  # pytest's exit code
@@ -206,12 +208,7 @@
             else:
                 shutil.copy(source, target)
         path = os.path.join(copy, mutation.path)
-        with open(path, encoding="utf-8") as file:
-            text = file.read()
-        if text.count(mutation.old) != 1:
-            raise SystemExit(f"{mutation.name}: its text is not there exactly once")
-        with open(path, "w", encoding="utf-8") as file:
-            file.write(text.replace(mutation.old, mutation.new))
+        replace_once(path, mutation.old, mutation.new)
         env = {**os.environ, "PYTHONPATH": copy}
         return _run_test(mutation.test, copy, env) == TESTS_FAILED
 
--- /dev/null
+++ b/test/test_tasks.py
@@ -0,0 +1,150 @@
+"""Tasks on a clock that jumps over all waiting: supervisor, limiter, store."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from dragonflywing import logs, store, supervisor
+from dragonflywing.decisions import shares
+from dragonflywing.errors import DfwError, StoreError, Verdict
+from dragonflywing.limiter import Limiter
+from dragonflywing.metrics import Histogram, Metrics
+from test.helper import run_at_once
+
+
+class FakeFleet:
+    """A fleet whose instances all lend what they are asked for, or nothing."""
+
+    def __init__(self, lends):
+        self.lends = lends
+        self.asked = []
+        self.returned = []
+
+    def lenders(self, workspace, count):
+        return ["other"]
+
+    def note_declined(self, lender, workspace):
+        pass
+
+    async def borrow(self, lender, request):
+        self.asked.append(request)
+        await asyncio.sleep(0.02)
+        share = request.share if self.lends else 0.0
+        return shares.BorrowAnswer(request.loan_id, request.workspace, share, 2.0)
+
+    async def give_back(self, lender, message):
+        self.returned.append(message)
+
+
+def make_limiter(fleet):
+    """Return a limiter without a slot for a workspace with 100 statements/s."""
+    times = SimpleNamespace(rate_wait_s=1.0)
+    cfg = SimpleNamespace(instance="me", times=times)
+    limiter = Limiter(cfg, fleet, Metrics())
+    workspace = SimpleNamespace(rate=100.0, burst=50.0)
+    limiter.configure(SimpleNamespace(fleet_size=2, workspaces={"w": workspace}))
+    return limiter
+
+
+class TestLimiter:
+    def test_refuses_after_the_wait(self):
+        run_at_once(self._refuse())
+
+    async def _refuse(self):
+        limiter = make_limiter(FakeFleet(lends=False))
+        running = asyncio.create_task(limiter.run())
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        with pytest.raises(DfwError) as caught:
+            await limiter.admit("w")
+        assert caught.value.verdict is Verdict.NOT_RUN
+        assert 1.0 <= loop.time() - started < 1.1
+        running.cancel()
+
+    def test_borrows_and_gives_back(self):
+        run_at_once(self._borrow())
+
+    async def _borrow(self):
+        fleet = FakeFleet(lends=True)
+        limiter = make_limiter(fleet)
+        running = asyncio.create_task(limiter.run())
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        await limiter.admit("w")
+        assert loop.time() - started < 0.5
+        for _ in range(100):
+            await limiter.admit("w")
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(3.0)
+        ended = limiter.state.buckets["w"].borrowed
+        assert fleet.returned or not ended
+        running.cancel()
+
+
+class TestSupervise:
+    def test_starts_a_failed_task_again(self):
+        run_at_once(self._check())
+
+    async def _check(self):
+        starts = []
+
+        async def work():
+            starts.append(asyncio.get_running_loop().time())
+            if len(starts) < 4:
+                raise KeyError("x")
+
+        metrics = Metrics()
+        await supervisor.supervise("work", work, metrics)
+        assert metrics.counters["task.failed.work"] == 3
+        pauses = [b - a for a, b in zip(starts, starts[1:], strict=False)]
+        assert pauses == sorted(pauses)
+        assert pauses[0] == pytest.approx(supervisor.RESTART_FIRST_S, abs=0.01)
+
+
+class TestSettle:
+    @pytest.mark.parametrize(
+        "calls,checks,outcome",
+        [
+            ([True], [], True),
+            ([False], [], False),
+            ([StoreError("x", True)], [True], True),
+            ([StoreError("x", True)], [False], False),
+            ([StoreError("x", True), False], [None, True], True),
+            ([StoreError("x", False), True], [], True),
+        ],
+    )
+    def test_outcome(self, calls, checks, outcome):
+        assert run_at_once(self._settle(list(calls), list(checks))) is outcome
+
+    def test_gives_up_when_nothing_answers(self):
+        calls = [StoreError("x", True)] * 5
+        with pytest.raises(StoreError):
+            run_at_once(self._settle(calls, [None] * 5))
+
+    async def _settle(self, calls, checks):
+        async def call():
+            value = calls.pop(0)
+            if isinstance(value, StoreError):
+                raise value
+            return value
+
+        async def check():
+            return checks.pop(0)
+
+        return await store.settle(call, check)
+
+
+class TestLogs:
+    def test_one_line_of_pairs(self):
+        line = logs.format_event("x", {"a": 1, "b": "two words", "c": 0.25, "d": ""})
+        assert line == 'event=x a=1 b="two words" c=0.25 d=""'
+
+
+class TestHistogram:
+    def test_quantiles(self):
+        histogram = Histogram()
+        for i in range(1, 101):
+            histogram.add(i / 1000)
+        assert 0.05 <= histogram.quantile(0.5) <= 0.08
+        assert 0.099 <= histogram.quantile(0.99) <= 0.15
