--- a/dragonflywing/callers.py
+++ b/dragonflywing/callers.py
@@ -142,6 +142,7 @@
             raise DfwError(errors.ACCESS_DENIED, "open routes serve reads only")
 
     async def _execute(self, sql, attrs, started):
+        attrs = {name: str(value) for name, value in attrs.items()}
         route = attrs.get("route", self.route)
         if "session_token" in attrs:
             self._set_token(attrs["session_token"])
--- a/dragonflywing/entry.py
+++ b/dragonflywing/entry.py
@@ -5,7 +5,15 @@
 import signal
 import ssl
 
-from dragonflywing import errors, identity, logs, supervisor, tenure
+from dragonflywing import (
+    errors,
+    identity,
+    logs,
+    presence,
+    slots,
+    supervisor,
+    watcher,
+)
 from dragonflywing.callers import CallerSession
 from dragonflywing.decisions import retries, shares, versions
 from dragonflywing.decisions.statements import StatementCache
@@ -41,7 +49,7 @@
         self.store = Store(cfg.store, self.metrics)
         self.fleet = Fleet(cfg, self.versions, self.metrics, self.adopt)
         self.limiter = Limiter(cfg, self.fleet, self.metrics)
-        self.slot = tenure.SlotKeeper(
+        self.slot = slots.SlotKeeper(
             cfg, self.store, self.limiter, self.versions, self.metrics
         )
         self.peers = PeerServer(cfg.peer_secret, self.fleet, self.metrics)
@@ -221,9 +229,9 @@
         self._keep("fleet", self.fleet.run)
         self._keep(
             "configuration",
-            lambda: tenure.watch_configuration(cfg, self.store, self.fleet),
+            lambda: watcher.watch_configuration(cfg, self.store, self.fleet),
         )
-        self._keep("presence", lambda: tenure.keep_presence(cfg, self.store))
+        self._keep("presence", lambda: presence.keep_presence(cfg, self.store))
         self._keep("slot", self.slot.run)
         self._keep("limiter", self.limiter.run)
         self._keep("metrics", self.metrics.report)
--- a/dragonflywing/fleet.py
+++ b/dragonflywing/fleet.py
@@ -49,6 +49,7 @@
         self.lend = None
         self.take_back = None
         self.report_json = lambda: "{}"
+        self._data = b""
         self._clients = {}
         self._tasks = set()
         self._fetching = False
@@ -105,7 +106,7 @@
             config_age=min(age, 1e9),
         )
 
-    def take(self, digest, address=None):
+    def take(self, digest):
         """Use a peer's digest; its sender is the first member."""
         now = self._now()
         fields = Member._fields
@@ -127,8 +128,7 @@
 
     def configuration_bytes(self):
         """Return the configuration in force as bytes, empty if there is none."""
-        cfg = self.versions.cfg
-        return configuration.encode(cfg) if cfg else b""
+        return self._data
 
     def suspects(self, group, term):
         """Return whether this instance suspects a group's primary."""
@@ -155,6 +155,7 @@
             return
         if not versions.offer(self.versions, cfg):
             return
+        self._data = data
         logs.event("configuration", version=cfg.version, source=source)
         self.metrics.count(f"configuration.from_{source}")
         self.on_configuration(cfg)
--- a/dragonflywing/load/experiments.py
+++ b/dragonflywing/load/experiments.py
@@ -20,6 +20,11 @@
 HOT = 0.8
 BALANCERS = ("even", "skewed", "shifting")
 QUIET = ("copal", "myrrh", "export")
+OVERLOAD_STATEMENT_S = 0.01
+OVERLOAD_PER_S = 900.0
+OVERLOAD_S = 5.0
+NORMAL_PER_S = 200.0
+RECOVERY_S = 8.0
 FAILOVER_PAUSE_S = 3.0
 GAP_WINDOW_S = 3.5
 
@@ -57,6 +62,7 @@
         self.served_in_time = Counter()
         self.end = float("inf")
         self.reasons = Counter()
+        self.tasks = []
 
     async def _one(self, workspace, entry):
         pool = self.pools.setdefault((workspace, entry), [])
@@ -78,17 +84,22 @@
                 return
         pool.append(conn)
 
-    async def send(self, workspace, per_s, end):
+    async def finish(self):
+        """Wait for all statements that were sent."""
+        await asyncio.gather(*self.tasks)
+
+    async def send(self, workspace, per_s, end, wait=True):
         """Send statements of a workspace at a rate until `end`."""
         loop = asyncio.get_running_loop()
         begin = loop.time()
-        tasks = []
+        tasks = self.tasks
         entries = sorted(self.deployment.entries)
         while loop.time() < end:
             await asyncio.sleep(self.rng.expovariate(per_s))
             entry = _pick(self.balancer, entries, loop.time() - begin, self.rng)
             tasks.append(asyncio.create_task(self._one(workspace, entry)))
-        await asyncio.gather(*tasks)
+        if wait:
+            await self.finish()
 
     def close(self):
         """Close all connections."""
@@ -131,6 +142,35 @@
     return rows
 
 
+async def overload(seed=1):
+    """Overload a fleet for a while; return (second, asked, served) afterwards.
+
+    Seconds count from the end of the overload.
+    """
+    workspaces = {"press": ("orders", 1e6, 1e6)}
+    plan = Plan("overload", ("x", "y", "z"), 0.0, ("orders",), 32, workspaces, 4)
+    deployment = Deployment(plan, statement_s=OVERLOAD_STATEMENT_S)
+    asked, served = Counter(), Counter()
+    try:
+        await deployment.start()
+        load = RateLoad(deployment, "even", seed)
+        loop = asyncio.get_running_loop()
+        peak = loop.time() + OVERLOAD_S
+        await load.send("press", OVERLOAD_PER_S, peak, wait=False)
+        begin = loop.time()
+        while loop.time() < begin + RECOVERY_S:
+            before = load.asked["press"], load.served["press"]
+            second = int(loop.time() - begin)
+            await load.send("press", NORMAL_PER_S, loop.time() + 1.0, wait=False)
+            asked[second] += load.asked["press"] - before[0]
+            served[second] += load.served["press"] - before[1]
+        await load.finish()
+        load.close()
+    finally:
+        await deployment.stop()
+    return [(second, asked[second], served[second]) for second in sorted(asked)]
+
+
 async def failovers(plan, count=20, seed=1, baseline=None):
     """Kill primaries one after the other; return (gaps in s, findings)."""
     path = baselines.package_path(baseline)
--- a/dragonflywing/operations.py
+++ b/dragonflywing/operations.py
@@ -11,8 +11,9 @@
 from dragonflywing.errors import UserError
 from dragonflywing.identity import key_hash
 from dragonflywing.peers import PeerClient
+from dragonflywing.presence import INSTANCE_PREFIX
 from dragonflywing.store import Store, settle
-from dragonflywing.tenure import CONFIGURATION_KEY, INSTANCE_PREFIX
+from dragonflywing.watcher import CONFIGURATION_KEY
 
 RACE_ATTEMPTS = 8
 POLL_S = 0.1
--- a/dragonflywing/peers.py
+++ b/dragonflywing/peers.py
@@ -133,7 +133,7 @@
                 await processor.process(protocol, protocol)
         except FAILURES:
             pass
-        except (ValueError, KeyError, AttributeError, TypeError):
+        except (ValueError, KeyError, IndexError, AttributeError, TypeError):
             self.metrics.count("refused.peer_malformed")
         except asyncio.CancelledError:
             pass
--- a/dragonflywing/tenure.py
+++ b/dragonflywing/slots.py
@@ -1,22 +1,20 @@
-"""This instance's place in the store: presence, slot and configuration."""
+"""This instance's slot of the fleet's rates, held by a lease of the store."""
 
 import asyncio
-import json
 import random
 
 from dragonflywing import logs
-from dragonflywing.decisions import shares, versions
+from dragonflywing.decisions import shares
 from dragonflywing.errors import StoreError
 from dragonflywing.store import settle
 
-CONFIGURATION_KEY = "/dfw/configuration"
-INSTANCE_PREFIX = "/dfw/instances/"
 SLOT_PREFIX = "/dfw/slots/"
 SLOT_ALIVE_PREFIX = "/dfw/slots_alive/"
 RETRY_S = 1.0
 # Part of a lease's time after which its holder no longer counts on it.
 LEASE_SAFETY = 0.9
 RENEWALS_PER_LEASE = 3
+RENEWAL_MAX_S = 60.0
 
 
 def lease_seconds(seconds):
@@ -24,66 +22,6 @@
     return max(1, round(seconds))
 
 
-async def watch_configuration(cfg, store, fleet):
-    """Take configurations from the store while this instance is a watcher."""
-    while True:
-        if not fleet.is_watcher() and fleet.versions.cfg is not None:
-            await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.0))
-            continue
-        try:
-            await _watch_once(store, fleet)
-        except StoreError as exc:
-            if fleet.store_ok:
-                logs.event("store_lost", error=str(exc))
-            fleet.store_ok = False
-            fleet.metrics.count("store.watch_failed")
-        await asyncio.sleep(RETRY_S * random.uniform(0.2, 1.0))
-
-
-async def _watch_once(store, fleet):
-    loop = asyncio.get_running_loop()
-    asked_at = loop.time()
-    entries, revision = await store.get_prefix(CONFIGURATION_KEY)
-    fleet.store_ok = True
-    for entry in entries:
-        fleet.offer(entry.value, "store")
-    _confirm(fleet, asked_at)
-    async for changes in store.watch(CONFIGURATION_KEY, revision + 1):
-        heard_at = loop.time()
-        for entry in changes:
-            fleet.offer(entry.value, "store")
-        _confirm(fleet, heard_at)
-        if not fleet.is_watcher():
-            return
-
-
-def _confirm(fleet, moment):
-    now = asyncio.get_running_loop().time()
-    version = versions.version(fleet.versions)
-    versions.confirm(fleet.versions, now, version, now - moment)
-
-
-async def keep_presence(cfg, store):
-    """Keep this instance's record in the store under a lease."""
-    lease = 0
-    record = {
-        "data_centre": cfg.data_centre,
-        "caller_address": f"{cfg.host}:{cfg.port}",
-        "peer_address": f"{cfg.host}:{cfg.peer_port}",
-    }
-    period = cfg.times.instance_lease_s / RENEWALS_PER_LEASE
-    while True:
-        try:
-            if not lease or not await store.keep_lease(lease):
-                lease = await store.grant_lease(cfg.times.instance_lease_s)
-                await store.put(
-                    INSTANCE_PREFIX + cfg.instance, json.dumps(record), lease
-                )
-        except StoreError:
-            lease = 0
-        await asyncio.sleep(period * random.uniform(0.8, 1.0))
-
-
 class SlotKeeper:
     """Takes, renews and hands over a slot of the fleet's shares."""
 
@@ -107,7 +45,7 @@
     async def run(self):
         """Hold a slot until cancelled."""
         seconds = lease_seconds(self.cfg.times.share_lease_s)
-        period = min(60.0, seconds / RENEWALS_PER_LEASE)
+        period = min(RENEWAL_MAX_S, seconds / RENEWALS_PER_LEASE)
         while True:
             pause = period * random.uniform(0.8, 1.0)
             try:
@@ -124,7 +62,7 @@
 
     async def _renew(self):
         asked_at = self._now()
-        if await self.store.keep_lease(self.lease):
+        if await self.store.keep_lease(self.lease) and await self._is_still_mine():
             shares.renew_slot(self.limiter.state, self._valid_until(asked_at))
             return
         logs.warn("slot_lost", slot=self.slot)
@@ -132,6 +70,11 @@
         shares.drop_slot(self.limiter.state, self._now())
         self.slot = None
 
+    async def _is_still_mine(self):
+        """Return whether no later run of the same name has taken the slot."""
+        record = await self.store.get(f"{SLOT_PREFIX}{self.slot}")
+        return record is not None and record.value.decode() == self.mark
+
     async def _take(self):
         slots, _ = await self.store.get_prefix(SLOT_PREFIX)
         alive, _ = await self.store.get_prefix(SLOT_ALIVE_PREFIX)
--- a/dragonflywing/ui/load.py
+++ b/dragonflywing/ui/load.py
@@ -114,11 +114,15 @@
             for kind, (p50, p99, n) in found.items():
                 print(f"{kind}: p50_ms={p50:.1f} p99_ms={p99:.1f} n={n}")
             print(f"fence_queries_per_read={fences:.2f}")
+        elif name == "overload":
+            print("| second after | asked | served |\n| --- | --- | --- |")
+            for row in command.run(experiments.overload()):
+                print("| {} | {} | {} |".format(*row))
         elif name == "spread":
             times = command.run(experiments.spread(plan_named(deployment), count))
             print(f"median_s={quantile(times, 0.5):.2f} max_s={max(times):.2f}")
         else:
-            known = "rates, failovers, latencies, spread"
+            known = "rates, failovers, latencies, overload, spread"
             raise UserError(f"experiment {name!r}: expected one of {known}")
 
     def _failovers(self, deployment, count, baseline):
