--- a/dragonflywing/decisions/shares.py
+++ b/dragonflywing/decisions/shares.py
@@ -106,10 +106,14 @@
         self.returned = {}
 
 
-def take_slot(state, now, valid_until):
-    """Start to hold a slot; it refills after all loans of its last holder ended."""
+def take_slot(state, now, valid_until, is_first=False):
+    """Start to hold a slot.
+
+    It refills after all loans of its last holder have ended, at once if it
+    never had one.
+    """
     state.has_slot = True
-    state.refill_from = now + LOAN_S
+    state.refill_from = now if is_first else now + LOAN_S
     state.valid_until = valid_until
     for bucket in state.buckets.values():
         _advance(state, bucket, now)
--- a/dragonflywing/slots.py
+++ b/dragonflywing/slots.py
@@ -120,7 +120,8 @@
             return False
         self.slot = number
         valid_until = self._valid_until(asked_at)
-        shares.take_slot(self.limiter.state, self._now(), valid_until)
+        state = self.limiter.state
+        shares.take_slot(state, self._now(), valid_until, is_first=record is None)
         logs.event("slot_taken", slot=number)
         return True
 
--- a/test/decisions/test_shares.py
+++ b/test/decisions/test_shares.py
@@ -201,6 +201,13 @@
         assert not shares.admit(state, shares.LOAN_S, "w")
         assert shares.admit(state, shares.LOAN_S + 0.1, "w")
 
+    def test_first_holder_has_no_loans_to_wait_for(self):
+        state = shares.ShareState(2)
+        shares.configure(state, 0.0, {"w": (100.0, 20.0)})
+        shares.take_slot(state, 0.0, 1000.0, is_first=True)
+        assert not shares.admit(state, 0.0, "w")
+        assert shares.admit(state, 0.1, "w")
+
     def test_stops_when_lease_lapses(self):
         state = self._holder()
         state.valid_until = 10.0
--- a/test/mutations.py
+++ b/test/mutations.py
@@ -86,7 +86,7 @@
     Mutation(
         "restarted_slot_starts_full",
         "dragonflywing/decisions/shares.py",
-        "state.refill_from = now + LOAN_S",
+        "state.refill_from = now if is_first else now + LOAN_S",
         "state.refill_from = now - 100.0",
         SHARES,
     ),
