--- a/dragonflywing/links.py
+++ b/dragonflywing/links.py
@@ -86,7 +86,7 @@
         opening = self._opening
         try:
             await asyncio.shield(opening)
-        except (OSError, asyncio.TimeoutError) as exc:
+        except (TimeoutError, OSError) as exc:
             raise LinkLost(f"{self.host}: {type(exc).__name__}") from None
         finally:
             if opening.done() and self._opening is opening:
--- a/dragonflywing/platform/callers.py
+++ b/dragonflywing/platform/callers.py
@@ -75,7 +75,7 @@
         self.connections.add(conn)
         try:
             await conn.run()
-        except (OSError, EOFError, asyncio.TimeoutError):
+        except (TimeoutError, OSError, EOFError):
             pass
         except (lines.MalformedLine, ValueError, asyncio.LimitOverrunError) as exc:
             self.node.metrics.count("refused.malformed_line")
@@ -96,14 +96,17 @@
         self.reader = reader
         self.writer = writer
         self.session = None
+        self._next_line = None
+        self._answering = False
 
     def is_idle(self):
         """Return whether nothing is under way, so that closing hurts nobody."""
-        session = self.session
-        if session is None:
-            return True
-        unread = bool(self.reader._buffer)
-        return not session.busy and session.state() == sessions.IDLE and not unread
+        session, line = self.session, self._next_line
+        if session is None or line is None:
+            return False
+        # A line that was read belongs to a statement that is about to start.
+        busy = self._answering or line.done()
+        return not busy and session.state() == sessions.IDLE
 
     async def _line(self):
         return lines.decode(await self.reader.readuntil(lines.END))
@@ -133,19 +136,20 @@
             session.leave()
 
     async def _serve_statements(self):
-        line = asyncio.ensure_future(self._line())
+        self._next_line = asyncio.ensure_future(self._line())
         try:
             while True:
-                query = lines.parse_query(await line)
+                query = lines.parse_query(await self._next_line)
                 if query is None:
                     return
-                line = asyncio.ensure_future(self._line())
                 op = decode_operation(query)
                 work = asyncio.ensure_future(self.session.handle(op))
-                if not await self._finish(work, line):
+                self._answering = True
+                self._next_line = asyncio.ensure_future(self._line())
+                if not await self._finish(work, self._next_line):
                     return
         finally:
-            line.cancel()
+            self._next_line.cancel()
 
     async def _finish(self, work, line):
         """Answer a statement; return False if the caller left meanwhile."""
@@ -161,6 +165,7 @@
             f"statement.{reply.code or 'ok'}", self.node.now() - started_at
         )
         self.writer.write(encode_reply(reply))
+        self._answering = False
         await self.writer.drain()
         return True
 
--- a/dragonflywing/platform/databases.py
+++ b/dragonflywing/platform/databases.py
@@ -12,7 +12,6 @@
     DatabaseStatus,
 )
 
-
 # The platform's error codes in the core's words.
 CODES = {
     "BUSY": outcomes.OVERLOADED,
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's store and of its order for promotions."""
 
-import asyncio
 import base64
 import json
 from typing import NamedTuple
@@ -54,7 +53,7 @@
             ) as resp:
                 data = await resp.read()
                 status = resp.status
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as exc:
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise StoreError(f"{path}: {type(exc).__name__}", True) from None
         if status in (429, 503):
             raise StoreError(f"{path}: status {status}", False)
@@ -151,5 +150,5 @@
                 timeout=timeout,
             ) as resp:
                 return resp.status
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as exc:
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise StoreError(f"promote: {type(exc).__name__}", True) from None
--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -72,7 +72,6 @@
         self.open = None
         self.failed = False
         self.floor = Position(0, 0)
-        self.busy = False
 
     def state(self):
         """Return the session's state."""
@@ -105,13 +104,9 @@
 
     async def handle(self, op):
         """Run one statement and return its Reply."""
-        self.busy = True
-        try:
-            if self.failed and op.kind not in ("rollback", "commit"):
-                return self._reply(outcomes.MALFORMED, "the transaction has failed")
-            return await self._handlers()[op.kind](op)
-        finally:
-            self.busy = False
+        if self.failed and op.kind not in ("rollback", "commit"):
+            return self._reply(outcomes.MALFORMED, "the transaction has failed")
+        return await self._handlers()[op.kind](op)
 
     def _handlers(self):
         return {
--- a/dragonflywing/ui/platform_entry.py
+++ b/dragonflywing/ui/platform_entry.py
@@ -1,4 +1,4 @@
-"""The entry daemon on the users' platform: python3 -m dragonflywing.ui.platform_entry."""
+"""The entry daemon on the users' platform."""
 
 import asyncio
 import sys
