Bound each home's connections by its rank; let operations wait for their rate

A first home now takes 65%, others grow from 2 with the first one's silence, none is opened for 0.25 s after a refusal.

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -168,6 +168,24 @@
         order = membership.order(database.name, places)
         return sorted(order, key=lambda name: places[name] != database.data_centre)
 
+    def first_home(self, database):
+        """Return the first home among all registered instances, heard of or not."""
+        places = {p.instance: p.data_centre for p in self.peers.values()}
+        for name in self.leaving_peers:
+            places.pop(name, None)
+        if not self.leaving or not places:
+            places[self.cfg.instance] = self.cfg.data_centre
+        order = membership.order(database.name, places)
+        return min(order, key=lambda name: places[name] != database.data_centre)
+
+    def silent_s(self, instance):
+        """Return the seconds since an instance was heard of."""
+        return self._now() - self.heard_at.get(instance, 0.0)
+
+    def is_isolated(self):
+        """Return whether this instance hears fewer than half of the others."""
+        return 2 * len(self.alive()) < len(self.peers)
+
     # Exchange
 
     async def exchange(self):
@@ -188,7 +206,9 @@
             )
         except LinkLost:
             self.metrics.count("link.exchange_failed")
-            self._close_link(instance)
+            if self.silent_s(instance) > SUSPECT_S:
+                # The connection may have gone silent while new ones work.
+                self._close_link(instance)
             return
         self.heard_at[instance] = self._now()
         self.exchanged_at[instance] = asked_at
--- a/dragonflywing/decisions/division.py
+++ b/dragonflywing/decisions/division.py
@@ -41,6 +41,7 @@
         self.arrivals = 0
         self.admitted = 0
         self.demand = 0.0
+        self.is_new = True
 
 
 class DivisionState:
@@ -146,6 +147,38 @@
     return overdrawn_s + missing_s
 
 
+def reserve(state, now, workspace):
+    """Take a token that is not there yet, for an operation that waits for it."""
+    bucket = _fill(state, now, workspace)
+    bucket.tokens -= 1.0
+    bucket.whole -= 1.0
+    bucket.admitted += 1
+
+
+def give_back(state, workspace):
+    """Return a token that was reserved and not used."""
+    bucket = state.buckets.get(workspace)
+    if bucket is not None:
+        bucket.tokens += 1.0
+
+
+def note_heard(state, heard_all):
+    """Note whether all others were heard; the first time, take the part of a burst.
+
+    An instance that starts finds the bucket as the fleet left it. One even part
+    is little beside the rate, and after a restart of the whole fleet the bucket
+    has refilled while nobody ran.
+    """
+    state.heard_all = heard_all
+    if not heard_all:
+        return
+    for bucket in state.buckets.values():
+        if bucket.is_new:
+            bucket.is_new = False
+            bucket.tokens += bucket.burst / (len(state.others) + 1)
+            bucket.whole = max(bucket.whole, FULL_ENOUGH * bucket.burst)
+
+
 def measure(state, now):
     """Update the moving averages of demand, once a period."""
     if state.counted_at is None:
--- a/dragonflywing/decisions/replacement.py
+++ b/dragonflywing/decisions/replacement.py
@@ -31,6 +31,7 @@
     def __init__(self, now):
         self.seen_at = now
         self.moved_at = now
+        self.asked_at = 0.0
 
 
 def see(state, now, received, replicas):
--- a/dragonflywing/homes.py
+++ b/dragonflywing/homes.py
@@ -14,8 +14,15 @@
 from dragonflywing.decisions.positions import Position
 from dragonflywing.ports import Answer, ConnectionFailed, ConnectionRefused
 
-# Connections of a database left to control and to another home during a change.
-RESERVED_CONNECTIONS = 3
+# Part of a database's connections for its first home; the rest is for control
+# and for other instances while they can't reach that home.
+FIRST_HOME_PART = 0.65
+# Connections of an instance that is not a database's first home, and how many
+# more it may use for each second that the first one has been silent.
+FALLBACK_CONNECTIONS = 2
+FALLBACK_GROWTH = 2
+# No connection is opened for this long after the database refused one.
+REFUSED_PAUSE_S = 0.25
 # Connections that one workspace leaves to the others.
 LEFT_TO_OTHERS = 2
 # A connection unused for this long is tried before a statement goes over it.
@@ -32,6 +39,22 @@
 CONTROL_WORKSPACE = "dragonflywing"
 
 
+def connections_for(limit, first_silent_s, is_isolated):
+    """Return how many connections an instance may hold to a database.
+
+    `first_silent_s` says for how long the database's first home was not heard
+    of, None if this instance is the first home. An instance that hears hardly
+    any other is cut off, while the others go on using theirs.
+    """
+    most = max(2, int(limit * FIRST_HOME_PART))
+    if first_silent_s is None and not is_isolated:
+        return most
+    few = min(FALLBACK_CONNECTIONS, most)
+    if is_isolated:
+        return few
+    return min(most, few + int(first_silent_s * FALLBACK_GROWTH))
+
+
 class Pooled:
     """A connection with the session state that it holds."""
 
@@ -82,7 +105,9 @@
 
     def __init__(self, database, connections, port, metrics):
         self.database = database
-        self.cap = max(2, connections - RESERVED_CONNECTIONS)
+        self.limit = connections
+        self.cap = connections_for(connections, None, False)
+        self.no_connect_until = 0.0
         self.port = port
         self.metrics = metrics
         self.admission = admission.AdmissionState(database.slots)
@@ -204,6 +229,8 @@
 
     def _make_room(self, workspace):
         """Return whether a connection may be opened, closing an idle one if needed."""
+        if self._now() < self.no_connect_until:
+            return False
         if self.total < self.cap:
             return True
         others = [item for item in self.idle if item.workspace != workspace]
@@ -227,6 +254,9 @@
                 self._release_slot(None)
         except BaseException as exc:
             self._count_connection(workspace, -1)
+            if isinstance(exc, (ConnectionRefused, ConnectionFailed, TimeoutError)):
+                pause = REFUSED_PAUSE_S * random.uniform(0.5, 1.5)
+                self.no_connect_until = self._now() + pause
             if isinstance(exc, ConnectionRefused) and exc.code in (
                 outcomes.NO_CONNECTION,
                 outcomes.OVERLOADED,
@@ -449,9 +479,12 @@
             self._control.close()
             self._control = None
 
-    def sweep(self, is_home, transaction_idle_s):
+    def sweep(self, is_home, cap, transaction_idle_s):
         """Close connections that are not needed and end forgotten transactions."""
         now = self._now()
+        self.cap = cap
+        while self.total > cap and self.idle:
+            self._discard(self.idle.pop(0))
         self._deliver(admission.expire(self.admission, now))
         limit = IDLE_CLOSE_S if is_home else STALE_AFTER_S
         for pooled in list(self.idle):
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -15,6 +15,7 @@
 from dragonflywing.decisions.positions import Position
 from dragonflywing.errors import StoreError, UserError
 from dragonflywing.groups import Groups
+from dragonflywing.homes import connections_for
 from dragonflywing.links import LinkLost, LinkServer, idl, pack, unpack
 from dragonflywing.ports import Answer, DatabaseStatus
 from dragonflywing.replacer import Replacer
@@ -27,14 +28,13 @@
 CONFIRM_LATE_S = 1.8
 # Taken off the time within which a withdrawn key must stop working.
 WITHDRAWAL_MARGIN_S = 0.4
-FENCE_PERIOD_S = 0.3  # a floor stays far younger than the ages of the routes
+FENCE_PERIOD_S = 0.5  # a floor stays far younger than the ages of the routes
 STATUS_TIMEOUT_S = 0.6
 COMMAND_TIMEOUT_S = 0.8
 FLOOR_TIMEOUT_S = 0.7
 DIRECTORY_TIMEOUT_S = 1.5  # up to some hundred KB between regions
 DIRECTORY_LATE_S = 2.5
 LINK_MARGIN_S = 0.15  # a round trip between the farthest data centres
-RATE_WAIT_S = 0.15  # an operation waits so long for its workspace's rate
 BEHIND_S = 0.3  # a replica that was behind is left out for this time
 LOAD_KEPT_S = 0.5  # a load told with an answer counts for this time
 NEAR_WAY_S = 0.0015
@@ -449,16 +449,25 @@
             setattr(req, name, value)
         return req
 
-    async def admit(self, workspace):
-        """Take one operation from a workspace's rate; return 0 or a time to wait."""
+    async def admit(self, workspace, patience_s):
+        """Take one operation from a workspace's rate; return 0 or a time to wait.
+
+        Waits for the operation's turn if that comes within `patience_s`.
+        """
         if workspace not in self.division.buckets:
-            return RATE_WAIT_S
+            return patience_s
         division.arrive(self.division, workspace)
         wait_s = division.admit(self.division, elapsed(), workspace)
-        if 0 < wait_s <= RATE_WAIT_S:
+        if not 0 < wait_s <= patience_s:
+            return wait_s
+        division.reserve(self.division, elapsed(), workspace)
+        self.metrics.count("rate.waited")
+        try:
             await asyncio.sleep(wait_s)
-            wait_s = division.admit(self.division, elapsed(), workspace)
-        return wait_s
+        except asyncio.CancelledError:
+            division.give_back(self.division, workspace)
+            raise
+        return 0.0
 
     def is_primary(self, route, database):
         """Return whether a database is believed to lead the route's group."""
@@ -525,18 +534,25 @@
             division.measure(self.division, elapsed())
             heard = set(self.division.others)
             known = set(self.cluster.exchanged_at)
-            self.division.heard_all = heard <= known or self.now_heard(heard, known)
-            me = self.cfg_own.instance
-            idle_s = self.cfg.transaction_idle_s if self.cfg else 3.0
-            for name, home in list(self.groups.homes.items()):
-                database = self.groups.databases.get(name)
-                is_home = database and self.cluster.homes(database)[0] == me
-                home.sweep(is_home, idle_s)
+            division.note_heard(self.division, self._has_heard(heard, known))
+            self._sweep_homes()
             if self.now() >= next_fence:
                 next_fence = self.now() + FENCE_PERIOD_S
                 self._refresh_floors()
 
-    def now_heard(self, heard, known):
+    def _sweep_homes(self):
+        me = self.cfg_own.instance
+        idle_s = self.cfg.transaction_idle_s if self.cfg else 3.0
+        isolated = self.cluster.is_isolated()
+        for name, home in list(self.groups.homes.items()):
+            database = self.groups.databases[name]
+            first = self.cluster.first_home(database)
+            silent_s = None if first == me else self.cluster.silent_s(first)
+            is_home = self.cluster.homes(database)[0] == me
+            cap = connections_for(home.limit, silent_s, isolated)
+            home.sweep(is_home, cap, idle_s)
+
+    def _has_heard(self, heard, known):
         """Return whether only instances that do not answer are unheard."""
         alive = {peer.instance for peer in self.cluster.alive()}
         return not (heard & alive) - known
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -14,11 +14,16 @@
 from dragonflywing.errors import StoreError
 
 DUTY_KEY = "dfw/duty/promotion"
-DUTY_LEASE_S = 4.0  # a dead holder is followed after this time
-RENEW_S = 1.0
+DUTY_LEASE_S = 3.0  # a dead holder is followed after this time
+RENEW_S = 0.8
 # The holder stops this long before its lease can have ended.
 SAFETY_S = 0.5
-WATCH_S = 0.25  # between looks at each primary
+WATCH_S = 0.2  # between looks at each group
+# A floor of this age shows that the primary answers; it is refreshed and passed
+# on twice a second each.
+SOUND_S = 1.1
+# Even so the databases are asked this often, for replicas that fall behind.
+ASK_S = 1.5
 PROMOTE_TIMEOUT_S = 3.0  # the order is answered in milliseconds
 TAKE_EFFECT_S = 2.5  # a database leads some hundred ms after the order
 CATCH_UP_S = 0.05
@@ -133,6 +138,16 @@
                 if task is None or task.done():
                     self._running[group] = asyncio.create_task(self._look(group))
 
+    def _is_sound(self, group, health):
+        """Return whether the group needs no look just now."""
+        state = self.groups.state(group)
+        database = self.groups.databases.get(state.primary)
+        if database is None or database.is_leaving:
+            return False
+        now = elapsed()
+        young = state.floor is not None and now - state.floor.asked_at < SOUND_S
+        return young and now - health.asked_at < ASK_S
+
     async def _look(self, group):
         members = self.groups.members(group)
         if not members:
@@ -140,6 +155,9 @@
         now = elapsed()
         health = self._health.setdefault(group, replacement.HealthState(now))
         state = self.groups.state(group)
+        if self._is_sound(group, health):
+            return
+        health.asked_at = now
         found = dict(
             zip(
                 [item.name for item in members],
--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -19,7 +19,8 @@
 # Part of a statement's time for which it waits for a primary to be known.
 PRIMARY_WAIT_PART = 0.6
 
-NO_FENCE = -1.0  # a statement that needs no floor
+# Part of an operation's target time for which it waits for its turn.
+RATE_WAIT_PART = 0.5
 
 
 class Operation(NamedTuple):
@@ -211,7 +212,8 @@
             return self._refused(statement_id, code, "route or key")
         if self.route().is_open and self.key not in self.node.cfg.keys:
             return None
-        wait_s = await self.node.admit(self.workspace())
+        patience_s = RATE_WAIT_PART * self.route().target_s
+        wait_s = await self.node.admit(self.workspace(), patience_s)
         if wait_s > 0:
             text = f"over the rate, not run, retry in {int(wait_s * 1000) + 1} ms"
             return self._refused(statement_id, outcomes.OVERLOADED, text)
