--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -21,6 +21,8 @@
 RETRY_S = 0.4
 EXCHANGE_S = 0.4
 EXCHANGE_TIMEOUT_S = 0.6
+# Between tries while an instance has not been heard at all, as after a start.
+UNHEARD_S = 0.1
 # Without an exchange for so long an instance is not chosen as a home.
 SUSPECT_S = 1.3
 
@@ -103,6 +105,7 @@
             if self.peers.pop(instance, None):
                 self._close_link(instance)
                 self.leaving_peers.discard(instance)
+                self.exchanged_at.pop(instance, None)
                 logs.event("member_gone", instance=instance)
             return
         try:
@@ -122,6 +125,7 @@
             self.peers[instance] = peer
             self._close_link(instance)
             self.leaving_peers.discard(instance)
+            self.exchanged_at.pop(instance, None)
             self.heard_at[instance] = self._now()
             logs.event("member", instance=instance, data_centre=peer.data_centre)
 
@@ -190,13 +194,20 @@
 
     async def exchange(self):
         """Exchange beliefs with all other instances until cancelled."""
-        running = {}
+        running, begun = {}, {}
         while True:
+            now = self._now()
             for instance in list(self.peers):
                 task = running.get(instance)
+                recent = now - begun.get(instance, 0.0) < 0.7 * EXCHANGE_S
+                if recent and instance in self.exchanged_at:
+                    continue
                 if task is None or task.done():
+                    begun[instance] = now
                     running[instance] = asyncio.create_task(self._exchange(instance))
-            await asyncio.sleep(EXCHANGE_S * random.uniform(0.8, 1.2))
+            unheard = self.peers.keys() - self.exchanged_at.keys()
+            pause = UNHEARD_S if unheard else EXCHANGE_S
+            await asyncio.sleep(pause * random.uniform(0.8, 1.2))
 
     async def _exchange(self, instance):
         asked_at = elapsed()
--- a/dragonflywing/decisions/replacement.py
+++ b/dragonflywing/decisions/replacement.py
@@ -26,19 +26,28 @@
 
 
 class HealthState:
-    """What the holder of the duty has seen of one group's primary."""
+    """What the holder of the duty has seen of one group's primary.
+
+    `wanted` is a position of the primary, told at `wanted_at`, which no replica
+    has been seen to have received yet.
+    """
 
     def __init__(self, now):
         self.seen_at = now
-        self.moved_at = now
+        self.wanted = None
+        self.wanted_at = now
+        self.is_behind = False
         self.asked_at = 0.0
 
 
 def see(state, now, received, replicas):
     """Note the positions that the primary and its replicas have told."""
     state.seen_at = now
-    if not replicas or max(replicas) >= received:
-        state.moved_at = now
+    reached = not replicas or state.wanted is None or max(replicas) >= state.wanted
+    if reached:
+        state.wanted = received
+        state.wanted_at = now
+    state.is_behind = not reached
 
 
 def silent(state, now):
@@ -48,7 +57,7 @@
 
 def stalled(state, now):
     """Return whether the replicas have been behind the primary for too long."""
-    return now - state.moved_at > STALLED_S
+    return state.is_behind and now - state.wanted_at > STALLED_S
 
 
 def choose(held, quorum):
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -42,7 +42,10 @@
 # After SIGTERM: the balancer needs two missed probes, one a second.
 ROTATION_S = 2.2
 EXIT_MARGIN_S = 0.8
-READY_WAIT_S = 4.0
+# A caller that connects while the instance starts waits up to this time; it
+# would give up after 2 s.
+START_WAIT_S = 1.2
+START_POLL_S = 0.02
 
 
 class Node:
@@ -68,6 +71,7 @@
         self.replacer = Replacer(self)
         self.links = LinkServer(self._handle, self._link_closed, metrics)
         self.draining = asyncio.Event()
+        self._is_started = False
         self._behind = {}
         self._loads = {}
         self._fetching = False
@@ -565,6 +569,13 @@
             if self.cluster.homes(database)[0] == self.cfg_own.instance:
                 self._spawn(self.groups.fence(state.name))
 
+    async def wait_started(self):
+        """Wait for a short while after the start until callers can be served."""
+        end = self.now() + START_WAIT_S
+        while not self._is_started and self.now() < end:
+            self._is_started = self.is_confirmed() and self.division.heard_all
+            await asyncio.sleep(START_POLL_S)
+
     def is_ready(self):
         """Return whether callers can be served."""
         return self.is_confirmed() and self.has_lists and not self.cluster.leaving
--- a/dragonflywing/platform/callers.py
+++ b/dragonflywing/platform/callers.py
@@ -115,6 +115,7 @@
         """Serve the caller until it leaves."""
         async with asyncio.timeout(STARTUP_TIMEOUT_S):
             route_name, key = lines.parse_startup(await self._line())
+        await self.node.wait_started()
         session = sessions.Session(self.node, route_name, key)
         code = session.check()
         if code:
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -145,6 +145,8 @@
         if database is None or database.is_leaving:
             return False
         now = elapsed()
+        if health.is_behind:
+            return False
         young = state.floor is not None and now - state.floor.asked_at < SOUND_S
         return young and now - health.asked_at < ASK_S
 
--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -19,6 +19,8 @@
 # Part of a statement's time for which it waits for a primary to be known.
 PRIMARY_WAIT_PART = 0.6
 
+# The workspace of callers without a key, on routes open to all.
+OPEN_WORKSPACE = "public"
 # Part of an operation's target time for which it waits for its turn.
 RATE_WAIT_PART = 0.5
 
@@ -68,6 +70,7 @@
         self.node = node
         self.route_name = route_name
         self.key = key
+        self.workspace = None
         self.values = {}
         self.prepared = {}
         self.open = None
@@ -88,18 +91,20 @@
         route = cfg.routes.get(self.route_name)
         if route is None:
             return outcomes.NO_ROUTE
-        if not route.is_open and self.key not in cfg.keys:
+        owner = cfg.keys.get(self.key)
+        if owner is None and not route.is_open:
             return outcomes.BAD_KEY
+        owner = owner or OPEN_WORKSPACE
+        if self.workspace not in (None, owner):
+            # The key now belongs to others than what this session has begun.
+            return outcomes.BAD_KEY
+        self.workspace = owner
         return outcomes.OK
 
     def route(self):
         """Return the caller's route."""
         return self.node.cfg.routes[self.route_name]
 
-    def workspace(self):
-        """Return the caller's workspace, "public" without a key on an open route."""
-        return self.node.cfg.keys.get(self.key, "public")
-
     def _reply(self, code="", text="-", rows=(), position=None):
         return Reply(code, text, rows, self.state(), position)
 
@@ -210,10 +215,10 @@
         code = self.check()
         if code:
             return self._refused(statement_id, code, "route or key")
-        if self.route().is_open and self.key not in self.node.cfg.keys:
+        if self.workspace == OPEN_WORKSPACE:
             return None
         patience_s = RATE_WAIT_PART * self.route().target_s
-        wait_s = await self.node.admit(self.workspace(), patience_s)
+        wait_s = await self.node.admit(self.workspace, patience_s)
         if wait_s > 0:
             text = f"over the rate, not run, retry in {int(wait_s * 1000) + 1} ms"
             return self._refused(statement_id, outcomes.OVERLOADED, text)
@@ -246,7 +251,7 @@
     def _request(self, op, kind, text, prepared, database, timeout_s):
         return self.node.request(
             database=database,
-            workspace=self.workspace(),
+            workspace=self.workspace,
             statement_id=op.statement_id,
             text=text,
             kind=kind,
@@ -284,6 +289,11 @@
             remaining = deadline - self.node.now()
             if database is None or remaining <= 0:
                 break
+            code = self.check()
+            if code:
+                # The key may have been withdrawn while this waited.
+                answer = self.node.answer(code, "route or key")
+                break
             req = self._request(op, kind, text, prepared, database, remaining)
             self._set_opening(req, route, kind, database)
             answer, handle, home = await self.node.run(req)
