Hand TLS bytes that arrive with the request for TLS to the handshake

Cause, by test: the library upgrades the transport while the client's first TLS bytes lie in its reader's buffer, so the handshake never sees them.

--- a/dragonflywing/wire.py
+++ b/dragonflywing/wire.py
@@ -112,6 +112,64 @@
             return b""
 
 
+class CallerProtocol(asyncio.StreamReaderProtocol):
+    """Keeps TLS bytes that arrive with the request for TLS for the handshake.
+
+    The library upgrades a connection without what its reader has buffered.
+    """
+
+    REQUEST_BYTES = 36  # a header of 4 and the request's 32 bytes
+    CLIENT_SSL = 0x0800  # capability flag in a request for TLS
+
+    def connection_made(self, transport):
+        """Note the transport, whose protocol the upgrade will replace."""
+        super().connection_made(transport)
+        self._transport_in_use = transport
+        self._first = b""
+        self._early = b""
+        self._is_upgrading = False
+
+    def data_received(self, data):
+        """Pass data on up to the end of a request for TLS."""
+        if self._is_upgrading:
+            self._early += data
+            return
+        if self._first is None:
+            super().data_received(data)
+            return
+        self._first += data
+        if len(self._first) >= 8:
+            self._pass_first()
+
+    def _pass_first(self):
+        size = int.from_bytes(self._first[:3], "little") + 4
+        flags = int.from_bytes(self._first[4:6], "little")
+        is_request = size == self.REQUEST_BYTES and flags & self.CLIENT_SSL
+        if is_request and len(self._first) < self.REQUEST_BYTES:
+            return
+        end = self.REQUEST_BYTES if is_request else len(self._first)
+        first, self._early, self._first = self._first[:end], self._first[end:], None
+        self._is_upgrading = bool(is_request)
+        super().data_received(first)
+        if is_request:
+            self._upgrade = asyncio.ensure_future(self._give_early())
+
+    async def _give_early(self):
+        transport = self._transport_in_use
+        while transport.get_protocol() is self and not transport.is_closing():
+            await asyncio.sleep(0)
+        # The TLS protocol starts in the loop's next turn.
+        await asyncio.sleep(0)
+        self._is_upgrading = False
+        data, tls = self._early, transport.get_protocol()
+        while data and tls is not self:
+            room = tls.get_buffer(len(data))
+            count = min(len(room), len(data))
+            room[:count] = data[:count]
+            tls.buffer_updated(count)
+            data = data[count:]
+
+
 def _parsed(function, *args, **kwargs):
     """Return what a parser returns; refuse a packet that it fails on."""
     try:
@@ -466,7 +524,7 @@
     def _make_protocol(self):
         reader = LimitedReader()
         reader.max_packet = self.max_packet
-        return asyncio.StreamReaderProtocol(reader, self._serve)
+        return CallerProtocol(reader, self._serve)
 
     async def _serve(self, reader, writer):
         session = self.make_session()
--- a/test/test_wire.py
+++ b/test/test_wire.py
@@ -19,6 +19,8 @@
     PrivateFormat,
 )
 from cryptography.x509.oid import NameOID
+from mysql_mimic.stream import MysqlStream
+from mysql_mimic.utils import seq
 
 from dragonflywing import wire
 from dragonflywing.load.deployment import key_of
@@ -132,6 +134,69 @@
             conn.close()
 
 
+class TestTlsUpgrade:
+    """The request for TLS and the first TLS bytes may arrive in any split."""
+
+    def _server(self, tmp_path, made):
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.load_cert_chain(*make_certificate(tmp_path))
+
+        async def serve(reader, writer):
+            stream = MysqlStream(reader, writer)
+            stream.seq = seq(256)
+            await stream.read()
+            await stream.start_tls(context)
+            made.append(await stream.reader.readexactly(5))
+            writer.close()
+
+        def make_protocol():
+            return wire.CallerProtocol(asyncio.StreamReader(), serve)
+
+        loop = asyncio.get_running_loop()
+        return loop.create_server(make_protocol, "127.0.0.1", 0)
+
+    async def _talk(self, tmp_path, size):
+        made = []
+        server = await self._server(tmp_path, made)
+        host, port = server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(host, port)
+        incoming, outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+        context = ssl.create_default_context()
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_NONE
+        client = context.wrap_bio(incoming, outgoing)
+        with pytest.raises(ssl.SSLWantReadError):
+            client.do_handshake()
+        flags = struct.pack("<I", 0x0800)
+        data = b"\x20\0\0\0" + flags + b"\0" * 28 + outgoing.read()
+        for start in range(0, len(data), size):
+            writer.write(data[start : start + size])
+            await asyncio.sleep(0)
+        async with asyncio.timeout(5):
+            while True:
+                data = await reader.read(65536)
+                assert data, "the server closed during the handshake"
+                incoming.write(data)
+                try:
+                    client.do_handshake()
+                    break
+                except ssl.SSLWantReadError:
+                    writer.write(outgoing.read())
+            client.write(b"hello")
+            writer.write(outgoing.read())
+            while not made:
+                await asyncio.sleep(0.01)
+        assert made == [b"hello"]
+        writer.close()
+        server.close()
+
+    def test_both_in_one_segment(self, tmp_path):
+        run(self._talk(tmp_path, 1 << 16))
+
+    def test_byte_by_byte(self, tmp_path):
+        run(self._talk(tmp_path, 1))
+
+
 class TestClients:
     def test_orm_with_pymysql(self):
         run(self._check())
