Ask fewer databases for a fence, say less in exchanges, watch the duty

Cause of the prices: every fence asked all databases, both sides of an exchange told everything, and eight instances polled the duty's key.

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -11,7 +11,8 @@
 from dragonflywing.errors import HistoryLost, StoreError
 from dragonflywing.links import Link, LinkLost
 
-MEMBER_PREFIX = "dfw/members/"
+OWN_PREFIX = "dfw/"
+MEMBER_PREFIX = OWN_PREFIX + "members/"
 # An instance that dies without a word is listed for this long. It is longer
 # than the time after which an unconfirmed instance refuses everything, so a
 # listed share of the rates is never used twice.
@@ -19,7 +20,7 @@
 RENEW_S = 1.5
 WATCH_S = 15.0  # the store holds a watch for up to 30 s; each one is a call
 RETRY_S = 0.4
-EXCHANGE_S = 0.4
+EXCHANGE_S = 0.5
 EXCHANGE_TIMEOUT_S = 0.6
 # Between tries while an instance has not been heard at all, as after a start.
 UNHEARD_S = 0.1
--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -16,6 +16,10 @@
 # acknowledge writes: three missed reports and the store's delay.
 VANISHED_S = 6.0
 FENCE_TIMEOUT_S = 0.6  # a round trip to the farthest database and a busy slot
+# A round asks the other databases if the first ones are silent for so long: a
+# round trip between regions and a slot.
+FENCE_SECOND_S = 0.08
+MUTE_S = 3.0  # a database that did not answer is asked last for this time
 # Taken off an accepted age for the time between a check and its use.
 AGE_MARGIN_S = 0.05
 
@@ -47,6 +51,7 @@
         self.status_of = None  # asks a database's home for its status
         self._waiters = {}
         self._next_waiter = 0
+        self._mute_until = {}
         self._tasks = set()
 
     def _now(self):
@@ -211,7 +216,23 @@
             if fut is not None and not fut.done():
                 fut.set_result(message.position if granted else None)
 
+    def _is_first_asked(self, state, name):
+        """Return whether a round asks a database at once.
+
+        The primary and as many replicas as are needed go first; those that did
+        not answer lately go last.
+        """
+        others = [item for item in state.fences.databases if item != state.primary]
+        others.sort(key=lambda item: (self._mute_until.get(item, 0.0), item))
+        count = max(0, (state.fences.quorum or 1) - 1)
+        return name == state.primary or name in others[:count]
+
     async def _query(self, state, query):
+        if not self._is_first_asked(state, query.database):
+            await asyncio.sleep(FENCE_SECOND_S)
+            done = state.fences.round_id != query.round_id or not state.fences.served
+            if done:
+                return
         self.metrics.count("fence.query")
         try:
             async with asyncio.timeout(FENCE_TIMEOUT_S):
@@ -219,7 +240,10 @@
         except TimeoutError:
             found = None
         status = None
-        if found is not None:
+        if found is None:
+            self._mute_until[query.database] = self._now() + MUTE_S
+        else:
+            self._mute_until.pop(query.database, None)
             self.note_status(query.database, found)
             # A paused database has promised its log to a later term.
             term = max(found.term, found.promised_term)
--- a/dragonflywing/link.thrift
+++ b/dragonflywing/link.thrift
@@ -38,16 +38,20 @@
   6: double floor_age,      // below 0: no floor is known
 }
 
-// What two instances tell each other several times a second.
+// What an instance tells each other one, twice a second.
 struct Exchange {
   1: string instance,
   2: bool leaving,
-  3: i64 config_version,
-  4: double config_age,
-  5: i64 directory_revision,
-  6: list<GroupView> groups,
-  7: map<string, double> demand,    // operations a second by workspace
-  8: map<string, i64> admitted,     // operations since the start by workspace
+  3: map<string, double> demand,    // operations a second by workspace
+  4: map<string, i64> admitted,     // operations since the start by workspace
+}
+
+// The answer to it; ages count from the question.
+struct Beliefs {
+  1: i64 config_version,
+  2: double config_age,
+  3: i64 directory_revision,
+  4: list<GroupView> groups,
 }
 
 // One call or its answer; `body` is one of the above or text.
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -10,7 +10,7 @@
 
 from dragonflywing import logs, outcomes, supervisor
 from dragonflywing.clock import elapsed
-from dragonflywing.cluster import MEMBER_PREFIX, Cluster, follow
+from dragonflywing.cluster import MEMBER_PREFIX, OWN_PREFIX, Cluster, follow
 from dragonflywing.decisions import division, floors, membership, placing
 from dragonflywing.decisions.positions import Position
 from dragonflywing.errors import StoreError, UserError
@@ -18,7 +18,7 @@
 from dragonflywing.homes import connections_for
 from dragonflywing.links import LinkLost, LinkServer, idl, pack, unpack
 from dragonflywing.ports import Answer, DatabaseStatus
-from dragonflywing.replacer import Replacer
+from dragonflywing.replacer import DUTY_KEY, Replacer
 
 TICK_S = 0.1
 # The configuration is read this often by the instances that confirm it for all.
@@ -28,7 +28,7 @@
 CONFIRM_LATE_S = 1.8
 # Taken off the time within which a withdrawn key must stop working.
 WITHDRAWAL_MARGIN_S = 0.4
-FENCE_PERIOD_S = 0.5  # a floor stays far younger than the ages of the routes
+FENCE_PERIOD_S = 0.45  # a floor stays far younger than the ages of the routes
 STATUS_TIMEOUT_S = 0.6
 COMMAND_TIMEOUT_S = 0.8
 FLOOR_TIMEOUT_S = 0.7
@@ -182,18 +182,22 @@
             items[item.key] = item.value
         self._take_directory(items, max(self.directory_revision, item.revision))
 
-    def _list_members(self, items):
+    def _list_own(self, items):
+        """Take all keys that instances keep in the store."""
         present = {item.key: item.value for item in items}
         for name in list(self.cluster.peers):
             if MEMBER_PREFIX + name not in present:
                 self.cluster.note_member(MEMBER_PREFIX + name, None)
-        for key, value in present.items():
-            self.cluster.note_member(key, value)
-        self._members_changed()
+        self.replacer.note_duty(None)
+        for item in items:
+            self._change_own(item)
 
-    def _change_member(self, item):
-        self.cluster.note_member(item.key, item.value)
-        self._members_changed()
+    def _change_own(self, item):
+        if item.key == DUTY_KEY:
+            self.replacer.note_duty(item)
+        elif item.key.startswith(MEMBER_PREFIX):
+            self.cluster.note_member(item.key, item.value)
+            self._members_changed()
 
     def _members_changed(self):
         division.keep_only(self.division, self.cluster.peers)
@@ -201,6 +205,19 @@
     # Exchange with the other instances
 
     def _make_exchange(self):
+        """Return what the others need of this instance whatever its age."""
+        demand, admitted = division.report(self.division)
+        return pack(
+            idl.Exchange(
+                instance=self.cfg_own.instance,
+                leaving=self.cluster.leaving,
+                demand=demand,
+                admitted=admitted,
+            )
+        )
+
+    def _answer_exchange(self):
+        """Return what this instance believes, with ages, for the one that asks."""
         now = elapsed()
         views = []
         for state in self.groups.groups.values():
@@ -216,35 +233,29 @@
                     floor_age=now - floor.asked_at if floor else -1.0,
                 )
             )
-        demand, admitted = division.report(self.division)
-        message = idl.Exchange(
-            instance=self.cfg_own.instance,
-            leaving=self.cluster.leaving,
-            config_version=self.version(),
-            config_age=self.confirmation_age(),
-            directory_revision=self.directory_revision,
-            groups=views,
-            demand=demand,
-            admitted=admitted,
+        return pack(
+            idl.Beliefs(
+                config_version=self.version(),
+                config_age=self.confirmation_age(),
+                directory_revision=self.directory_revision,
+                groups=views,
+            )
         )
-        return pack(message)
 
     def _hear(self, message):
-        """Use what does not depend on when it was said."""
+        """Use what another instance tells with its question."""
         name = message.instance
         if name not in self.cluster.peers:
             return
         if message.leaving:
             self.cluster.leaving_peers.add(name)
         division.hear(self.division, elapsed(), name, message.demand, message.admitted)
-        for view in message.groups:
-            if view.primary and view.term:
-                self.groups.note_primary(view.group, view.primary, view.term)
 
     async def _take_exchange(self, instance, body, asked_at):
-        message = unpack(idl.Exchange, body)
-        self._hear(message)
+        message = unpack(idl.Beliefs, body)
         for view in message.groups:
+            if view.primary and view.term:
+                self.groups.note_primary(view.group, view.primary, view.term)
             if view.floor_age >= 0:
                 position = Position(view.floor_term, view.floor_index)
                 floor = floors.Floor(position, asked_at - view.floor_age)
@@ -297,7 +308,7 @@
             return _pack_answer(answer, handle, self._wait_s(req.database))
         if name == "exchange":
             self._hear(unpack(idl.Exchange, body))
-            return self._make_exchange()
+            return self._answer_exchange()
         if name == "command":
             database, _, text = body.decode().partition(" ")
             return _pack_status(await self._command_here(database, text))
@@ -537,7 +548,7 @@
             await asyncio.sleep(TICK_S)
             division.measure(self.division, elapsed())
             heard = set(self.division.others)
-            known = set(self.cluster.exchanged_at)
+            known = set(self.division.admitted)
             division.note_heard(self.division, self._has_heard(heard, known))
             self._sweep_homes()
             if self.now() >= next_fence:
@@ -611,11 +622,11 @@
         jobs = {
             "register": self.cluster.register,
             "exchange": self.cluster.exchange,
-            "members": lambda: follow(
+            "instances": lambda: follow(
                 store,
-                MEMBER_PREFIX,
-                self._list_members,
-                self._change_member,
+                OWN_PREFIX,
+                self._list_own,
+                self._change_own,
                 self.metrics,
             ),
             "databases": lambda: follow(
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -45,6 +45,11 @@
         self.valid_until = 0.0
         self._health = {}
         self._running = {}
+        self._holder = None
+
+    def note_duty(self, item):
+        """Take the duty's key as it is in the store; None or no value if it is free."""
+        self._holder = item if item is not None and item.value is not None else None
 
     def holds(self):
         """Return whether this instance may order promotions."""
@@ -81,7 +86,7 @@
             return
         names = [peer.instance for peer in self.cluster.alive()]
         place = membership.rank("duty", self.node.cfg_own.instance, names)
-        item, _ = await self.store.get(DUTY_KEY)
+        item = self._holder
         if item is not None and not self._is_left_behind(item):
             return
         await asyncio.sleep(min(place, 5) * RANK_DELAY_S)
@@ -93,7 +98,10 @@
             return
         mark = f"{self.node.cfg_own.instance}/{self.cluster.incarnation}"
         token = await self._claim(mark, item)
-        if token:
+        if not token:
+            # What was watched is behind; the key itself tells.
+            self._holder, _ = await self.store.get(DUTY_KEY)
+        else:
             self.token = token
             self.valid_until = asked_at + DUTY_LEASE_S
             self._health.clear()
