--- /dev/null
+++ b/test/platform/deployment.py
@@ -0,0 +1,256 @@
+"""A deployment on the stand-in platform: entry instances as real processes."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import time
+
+from aiohttp import web
+
+from dragonflywing.platform import lines
+from dragonflywing.standin import platform_store
+from dragonflywing.standin.platform_database import StandinDatabase, StandinGroup
+
+PLACES = ("duluth-a", "buffalo-a", "sault-a")
+ROUTES = {
+    "orders": ("primary", 0),
+    "marks": ("bounded_staleness", 1500),
+    "batches": ("read_your_writes", 2500),
+}
+START_TIMEOUT_S = 20.0
+
+
+def free_ports(count):
+    """Return ports of 127.0.0.1 that nobody listens on."""
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+class Caller:
+    """A caller's connection."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.sent = 0
+
+    async def line(self):
+        """Return the next line, "" at the end."""
+        data = await asyncio.wait_for(self.reader.readline(), 5)
+        return data.decode().strip()
+
+    async def query(self, text, statement_id=None):
+        """Run a statement; return (error code or "", rows, state)."""
+        self.sent += 1
+        statement_id = statement_id or f"{id(self):x}{self.sent}"
+        self.writer.write(lines.encode("QUERY", statement_id, text))
+        code, rows = "", []
+        while True:
+            line = await self.line()
+            assert line, "connection closed without an answer"
+            word, _, rest = line.partition(" ")
+            if word == "DATAROW":
+                rows.append(rest)
+            elif word == "ERROR":
+                code = rest.split(" ")[0]
+            elif word == "READY":
+                return code, rows, rest.split(" ")[0]
+
+    def close(self):
+        """Close the connection."""
+        self.writer.close()
+
+
+class Deployment:
+    """One group of three databases, a store, and entry instances."""
+
+    def __init__(self, instances):
+        self.instances = instances
+        self.group = StandinGroup("orders-db")
+        self.state = platform_store.PlatformState(
+            lambda service, name: self.group.promote(name)
+        )
+        self.version = 0
+        self.keys = {"press": ["key-press"], "harbor": ["key-harbor"]}
+        self.rates = {"press": (400, 400), "harbor": (20, 20)}
+        self.processes = {}
+        self.callers = {}
+        self.logs = {}
+        self._ports = {}
+        self._tasks = []
+
+    async def start(self, folder):
+        """Start everything and wait until all instances are ready."""
+        self.folder = folder
+        app = platform_store.make_app(self.state)
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        self._runner = runner
+        (port,) = free_ports(1)
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        self.store_port = port
+        self._tasks.append(asyncio.create_task(self.state.expire()))
+        for number, place in enumerate(PLACES):
+            database = StandinDatabase(self.group, f"db-{number}", number == 0)
+            await database.start()
+            self.announce(database, place)
+        self.configure()
+        for number in range(self.instances):
+            await self.start_instance(f"front-{number}", PLACES[number % 3])
+        await asyncio.gather(*[self.wait_ready(name) for name in self.processes])
+
+    def announce(self, database, place, state="ready"):
+        """Write a database's entry to the store."""
+        host, port = database.address
+        entry = {
+            "service": self.group.name,
+            "address": f"{host}:{port}",
+            "zone": place,
+            "slots": 2,
+            "state": state,
+            "db_role": "primary" if database.is_primary else "replica",
+            "sequence": 1,
+            "born": 1,
+        }
+        self.state.put(f"servers/{database.name}", platform_store.encode(entry))
+
+    def configure(self):
+        """Write the next version of the configuration."""
+        self.version += 1
+        document = {
+            "config_version": self.version,
+            "routes": [
+                {
+                    "name": f"r-{name}",
+                    "database": name,
+                    "type": kind,
+                    "timeout_ms": 1500,
+                    "slo_ms": 800,
+                    "priority": 1,
+                    "service": self.group.name,
+                    "max_staleness_ms": age,
+                    "public": False,
+                }
+                for name, (kind, age) in ROUTES.items()
+            ],
+            "services": [
+                {"name": self.group.name, "max_conns": 16, "sync_replicas": 1}
+            ],
+            "limits": {"txn_idle_ms": 3000},
+            "tenants": [
+                {
+                    "name": name,
+                    "api_keys": keys,
+                    "rate_per_s": self.rates[name][0],
+                    "burst": self.rates[name][1],
+                }
+                for name, keys in self.keys.items()
+            ],
+        }
+        self.state.put("op/config", platform_store.encode(document))
+
+    async def start_instance(self, name, place):
+        """Start an entry instance as a process."""
+        if name not in self._ports:
+            self._ports[name] = free_ports(4)
+        caller, ready, first, second = self._ports[name]
+        settings = {
+            "node": name,
+            "zone": place,
+            "zones": {item: item for item in PLACES},
+            "listen_addrs": {
+                "front": f"127.0.0.1:{caller}",
+                "ready_addr": f"127.0.0.1:{ready}",
+            },
+            "port_range": [first, second],
+            "metrics_port": second,
+            "heartbeat_ms": 500,
+            "bounds": {"revoke_ms": 5000, "grace_s": 6, "quota_window_s": 5},
+            "platform": {
+                "address": f"127.0.0.1:{self.store_port}",
+                "ttl_min_ms": 1000,
+            },
+            "cloud": {"address": f"127.0.0.1:{self.store_port}"},
+        }
+        path = os.path.join(self.folder, f"{name}.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        self.logs[name] = os.path.join(self.folder, f"{name}.log")
+        with open(self.logs[name], "a", encoding="utf-8") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "dragonflywing.ui.platform_entry",
+                env={**os.environ, "DRAGONFLYWING_CONFIG": path},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def is_ready(self, name):
+        """Return whether an instance answers its ready probe with 200."""
+        try:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self._ports[name][1]
+            )
+            writer.write(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            status = (await reader.readline()).split(b" ")[1]
+            writer.close()
+        except (OSError, IndexError):
+            return False
+        return status == b"200"
+
+    async def wait_ready(self, name):
+        """Return once an instance is ready."""
+        end = time.monotonic() + START_TIMEOUT_S
+        while not await self.is_ready(name):
+            assert time.monotonic() < end, f"{name} was not ready in time"
+            await asyncio.sleep(0.05)
+
+    async def connect(self, name, route, key="key-press"):
+        """Return a Caller, or the error code with which its STARTUP is refused."""
+        caller = Caller(
+            *await asyncio.open_connection("127.0.0.1", self._ports[name][0])
+        )
+        caller.writer.write(lines.encode("STARTUP", route, key))
+        word, _, rest = (await caller.line()).partition(" ")
+        if word == "READY":
+            return caller
+        caller.close()
+        return rest.split(" ")[0]
+
+    def log_of(self, name):
+        """Return what an instance has logged."""
+        with open(self.logs[name], encoding="utf-8") as file:
+            return file.read()
+
+    async def stop(self):
+        """End all processes that this started."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.send_signal(signal.SIGKILL)
+            await process.wait()
+        for task in self._tasks:
+            task.cancel()
+        for database in self.group.databases.values():
+            database.close()
+        await self._runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def deployed(folder, instances=3):
+    """Run a deployment for the time of a test."""
+    deployment = Deployment(instances)
+    try:
+        await deployment.start(str(folder))
+        yield deployment
+    finally:
+        await deployment.stop()
--- /dev/null
+++ b/test/platform/test_path.py
@@ -0,0 +1,236 @@
+"""The whole path on the stand-in platform, with real processes."""
+
+import asyncio
+import re
+import signal
+
+from test.helper import run
+from test.platform.deployment import deployed
+
+
+class TestCalmDay:
+    def test_reads_own_writes_through_any_instance(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path) as site:
+            writer = await site.connect("front-0", "orders")
+            reader = await site.connect("front-1", "orders")
+            for number in range(20):
+                assert (await writer.query(f"WRITE a {number}"))[0] == ""
+                code, rows, _ = await reader.query("READ a")
+                assert code == "" and rows[0].endswith(f":{number}")
+            batch = await site.connect("front-2", "batches")
+            for number in range(20):
+                assert (await batch.query(f"WRITE b {number}"))[0] == ""
+                code, rows, _ = await batch.query("READ b")
+                assert code == "" and rows[0].endswith(f":{number}")
+            served = {name for name, *_ in site.group.ran}
+            assert len(served) > 1, "replicas serve reads"
+
+
+class TestTransactions:
+    def test_keep_all_or_nothing(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path) as site:
+            caller = await site.connect("front-0", "orders")
+            assert await caller.query("BEGIN") == ("", [], "T")
+            assert (await caller.query("WRITE a 1"))[2] == "T"
+            assert await caller.query("ROLLBACK") == ("", [], "I")
+            await caller.query("BEGIN")
+            await caller.query("WRITE a 2")
+            left = await site.connect("front-1", "orders")
+            await left.query("BEGIN")
+            await left.query("WRITE a 3")
+            left.close()
+            code, _, state = await caller.query("COMMIT")
+            assert (code, state) == ("", "I")
+            await asyncio.sleep(0.3)
+            assert (await caller.query("READ a"))[1][0].endswith(":2")
+
+
+class TestSessions:
+    def test_values_and_prepared_names_stay_apart(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path, 2) as site:
+            one = await site.connect("front-0", "orders")
+            two = await site.connect("front-1", "orders")
+            await one.query("SET zone lakes")
+            await two.query("SET zone coast")
+            await two.query("SET unit mm")
+            await one.query("PREPARE s1 WRITE q1")
+            await two.query("PREPARE s1 READ q2")
+            for number in range(6):
+                assert (await one.query(f"EXECUTE s1 a {number}", f"w{number}"))[
+                    0
+                ] == ""
+                assert (await two.query("EXECUTE s1 a", f"r{number}"))[0] == ""
+            for _, statement_id, workspace, values in site.group.ran:
+                assert workspace == "press"
+                if statement_id[0] == "w":
+                    assert values == {"zone": "lakes"}
+                else:
+                    assert values == {"zone": "coast", "unit": "mm"}
+            assert (await one.query("EXECUTE s9 a"))[0] == "NOSTMT"
+
+
+class TestFailover:
+    def test_no_acknowledged_write_is_lost(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path) as site:
+            kept = []
+            crash = asyncio.get_running_loop().call_later(
+                0.5, site.group.databases["db-0"].crash
+            )
+            caller = await site.connect("front-1", "orders")
+            end = asyncio.get_running_loop().time() + 6
+            number, after = 0, 0
+            while asyncio.get_running_loop().time() < end and after < 20:
+                number += 1
+                code, _, _ = await caller.query(f"WRITE n{number} {number}")
+                if code == "":
+                    kept.append(number)
+                    after += site.state.promotions != []
+                await asyncio.sleep(0.02)
+            crash.cancel()
+            assert after == 20, "writes go on after the promotion"
+            tokens = [token for _, token, _, _ in site.state.promotions]
+            assert tokens == sorted(tokens)
+            leader = next(
+                d for d in site.group.databases.values() if d.is_up and d.is_primary
+            )
+            for item in kept:
+                assert leader.value(f"n{item}")[1] == str(item)
+
+
+class TestKeys:
+    def test_withdrawn_key_stops_and_given_key_works(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path) as site:
+            caller = await site.connect("front-0", "orders")
+            assert (await caller.query("READ a"))[0] == ""
+            assert await site.connect("front-0", "orders", "other") == "NOAUTH"
+            assert await site.connect("front-0", "nowhere") == "NODB"
+            site.keys["press"] = ["key-new"]
+            site.configure()
+            await asyncio.sleep(3)
+            assert (await caller.query("READ a"))[0] == "NOAUTH"
+            fresh = await site.connect("front-2", "orders", "key-new")
+            assert (await fresh.query("READ a"))[0] == ""
+
+    def test_unconfirmed_keys_are_refused(self, tmp_path):
+        run(self._unconfirmed(tmp_path))
+
+    async def _unconfirmed(self, tmp_path):
+        async with deployed(tmp_path) as site:
+            caller = await site.connect("front-0", "orders")
+            site.state.is_down = True
+            await asyncio.sleep(2)
+            assert (await caller.query("READ a"))[0] == ""
+            await asyncio.sleep(4)
+            assert (await caller.query("READ a"))[0] == "BUSY"
+            site.state.is_down = False
+            await asyncio.sleep(2)
+            assert (await caller.query("READ a"))[0] == ""
+
+
+class TestRates:
+    def test_hold_over_all_instances(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path) as site:
+            await asyncio.sleep(1.5)
+            callers = [
+                await site.connect(f"front-{number % 3}", "marks", "key-harbor")
+                for number in range(6)
+            ]
+            end = asyncio.get_running_loop().time() + 5
+
+            async def press(caller):
+                while asyncio.get_running_loop().time() < end:
+                    await caller.query("READ a")
+                    await asyncio.sleep(0.02)
+
+            before = len(site.group.ran)
+            await asyncio.gather(*[press(caller) for caller in callers])
+            ran = len(site.group.ran) - before
+            # A rate of 20/s and a burst of 20, a tenth and 20 more at most.
+            assert 60 <= ran <= (5 * 20 + 20) * 1.1 + 20
+
+
+class TestBadInput:
+    def test_disturbs_nobody_else(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path, 1) as site:
+            good = await site.connect("front-0", "orders")
+            site.state.put("servers/odd", b"\xff\x00")
+            site.state.put("servers/half", b'{"service": "orders-db"}')
+            for data in (b"GET / HTTP/1.1\r\n", b"\xff\xfe\r\n", b"x" * 1100000):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", site._ports["front-0"][0]
+                )
+                writer.write(data)
+                line = await asyncio.wait_for(reader.readline(), 5)
+                assert line.startswith(b"ERROR MALFORMED"), data[:20]
+                writer.close()
+            silent, silent_writer = await asyncio.open_connection(
+                "127.0.0.1", site._ports["front-0"][0]
+            )
+            silent_writer.write(b"STARTUP ord")
+            assert (await good.query("READ a"))[0] == ""
+            assert await asyncio.wait_for(silent.read(), 5) == b""
+            assert (await good.query("WRITE a 1"))[0] == ""
+            log = site.log_of("front-0")
+            assert log.count("event=malformed_line") == 3
+            assert "event=bad_database_entry" in log
+
+
+class TestLostAnswers:
+    def test_read_is_tried_again_and_write_is_in_doubt(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path, 2) as site:
+            caller = await site.connect("front-0", "orders")
+            primary = site.group.databases["db-0"]
+            await caller.query("WRITE a 1")
+            primary.drop_answers = 1
+            code, rows, _ = await caller.query("READ a")
+            assert code == "" and rows[0].endswith(":1")
+            primary.drop_answers = 1
+            assert (await caller.query("WRITE a 2", "doubtful"))[0] == "INDOUBT"
+            runs = [item for item in site.group.ran if item[1] == "doubtful"]
+            assert len(runs) == 1
+            log = site.log_of("front-0") + site.log_of("front-1")
+            assert re.search("event=answer_lost request=doubtful", log)
+
+
+class TestShutdown:
+    def test_cuts_no_request(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path) as site:
+            caller = await site.connect("front-0", "orders")
+            await caller.query("BEGIN")
+            await caller.query("WRITE a 1")
+            site.processes["front-0"].send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            assert not await site.is_ready("front-0")
+            assert (await caller.query("WRITE b 2"))[0] == ""
+            assert (await caller.query("COMMIT"))[0] == ""
+            assert await asyncio.wait_for(caller.line(), 6) == ""
+            assert await asyncio.wait_for(site.processes["front-0"].wait(), 6) == 0
+            other = await site.connect("front-1", "orders")
+            assert (await other.query("READ b"))[1][0].endswith(":2")
