--- a/dragonflywing/homes.py
+++ b/dragonflywing/homes.py
@@ -18,9 +18,13 @@
 # and for other instances while they can't reach that home.
 FIRST_HOME_PART = 0.65
 # Connections of an instance that is not a database's first home, and how many
-# more it may use for each second that the first one has been silent.
+# more it may use for each second that it has stood in for the first one.
 FALLBACK_CONNECTIONS = 2
 FALLBACK_GROWTH = 2
+# For so long after a connection could not be opened, and after an answer was
+# lost, the database counts as out of reach and idle connections are tried.
+UNREACHABLE_S = 0.4
+SUSPECT_CONNECTIONS_S = 1.0
 # No connection is opened for this long after the database refused one.
 REFUSED_PAUSE_S = 0.25
 # Connections that one workspace leaves to the others.
@@ -39,20 +43,20 @@
 CONTROL_WORKSPACE = "dragonflywing"
 
 
-def connections_for(limit, first_silent_s, is_isolated):
+def connections_for(limit, standing_in_s, is_isolated):
     """Return how many connections an instance may hold to a database.
 
-    `first_silent_s` says for how long the database's first home was not heard
-    of, None if this instance is the first home. An instance that hears hardly
-    any other is cut off, while the others go on using theirs.
+    `standing_in_s` says for how long it has stood in for the database's first
+    home, None if it is the first home. An instance that hears hardly any other
+    is cut off, while the others go on using theirs.
     """
     most = max(2, int(limit * FIRST_HOME_PART))
-    if first_silent_s is None and not is_isolated:
+    if standing_in_s is None and not is_isolated:
         return most
     few = min(FALLBACK_CONNECTIONS, most)
     if is_isolated:
         return few
-    return min(most, few + int(first_silent_s * FALLBACK_GROWTH))
+    return min(most, few + int(standing_in_s * FALLBACK_GROWTH))
 
 
 class Pooled:
@@ -108,6 +112,10 @@
         self.limit = connections
         self.cap = connections_for(connections, None, False)
         self.no_connect_until = 0.0
+        self.unreachable_until = 0.0
+        self.lost_at = -SUSPECT_CONNECTIONS_S
+        self.asked_at = 0.0
+        self.asked_since = 0.0
         self.port = port
         self.metrics = metrics
         self.admission = admission.AdmissionState(database.slots)
@@ -194,6 +202,8 @@
             pooled = await self._take_idle(workspace)
             if pooled is not None:
                 return pooled
+            if self._now() < self.unreachable_until:
+                raise Refusal(outcomes.UNREACHABLE, "database out of reach, not run")
             # A connection that an open transaction holds is not soon free.
             used = self.by_workspace.get(workspace, 0)
             if used < max(1, self.cap - LEFT_TO_OTHERS) and self._make_room(workspace):
@@ -217,7 +227,9 @@
         """Try a connection that nothing was heard on for a while."""
         if pooled.conn.is_broken():
             return False
-        if self._now() - pooled.used_at < STALE_AFTER_S:
+        now = self._now()
+        is_suspect = pooled.used_at < self.lost_at + SUSPECT_CONNECTIONS_S > now
+        if now - pooled.used_at < STALE_AFTER_S and not is_suspect:
             return True
         try:
             async with asyncio.timeout(TRIAL_TIMEOUT_S):
@@ -267,9 +279,12 @@
                 raise Refusal(exc.code, "database refused the connection") from None
             if isinstance(exc, (ConnectionFailed, TimeoutError)):
                 self.metrics.count("database.connect_failed")
-                raise Refusal(outcomes.NO_CONNECTION, "no connection") from None
+                self.unreachable_until = self._now() + UNREACHABLE_S
+                text = "database out of reach, not run"
+                raise Refusal(outcomes.UNREACHABLE, text) from None
             raise
         self.metrics.count("database.connected")
+        self.unreachable_until = 0.0
         return Pooled(conn, workspace, self._now())
 
     def _count_connection(self, workspace, change):
@@ -316,7 +331,16 @@
             self.metrics.count(f"refused.{exc.code}")
             return Answer(exc.code, exc.text, (), False, None), ""
 
+    def asked_for_s(self):
+        """Return for how many seconds statements have come without a pause."""
+        now = self._now()
+        return now - self.asked_since if now - self.asked_at < 1.0 else 0.0
+
     async def _run_first(self, req, floor, deadline, origin):
+        now = self._now()
+        if now - self.asked_at >= 1.0:
+            self.asked_since = now
+        self.asked_at = now
         pooled = await self._acquire(req.workspace, deadline)
         try:
             await self._take_slot(req.workspace, deadline, False)
@@ -399,6 +423,7 @@
 
     def _lost(self, req, sent, exc):
         self.metrics.count(f"database.lost.{type(exc).__name__}")
+        self.lost_at = self._now()
         logs.event(
             "answer_lost",
             request=req.statement_id,
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -21,6 +21,10 @@
 from dragonflywing.replacer import DUTY_KEY, Replacer
 
 TICK_S = 0.1
+# Instances asked to reach a database before it counts as out of reach, and how
+# long one that could not is asked last.
+HOMES_TRIED = 3
+UNREACHABLE_S = 1.5
 # The configuration is read this often by the instances that confirm it for all.
 CONFIRM_S = 0.8
 CONFIRMERS = 2
@@ -29,11 +33,10 @@
 # Taken off the time within which a withdrawn key must stop working.
 WITHDRAWAL_MARGIN_S = 0.4
 FENCE_PERIOD_S = 0.45  # a floor stays far younger than the ages of the routes
-STATUS_TIMEOUT_S = 0.6
-COMMAND_TIMEOUT_S = 0.8
-FLOOR_TIMEOUT_S = 0.7
+COMMAND_TIMEOUT_S = 0.5  # a home's own limit and a round trip
 DIRECTORY_TIMEOUT_S = 1.5  # up to some hundred KB between regions
 DIRECTORY_LATE_S = 2.5
+READ_REMOTE_S = 0.7  # longer than a home lets a read take, with its queue
 LINK_MARGIN_S = 0.15  # a round trip between the farthest data centres
 BEHIND_S = 0.3  # a replica that was behind is left out for this time
 LOAD_KEPT_S = 0.5  # a load told with an answer counts for this time
@@ -73,6 +76,7 @@
         self.draining = asyncio.Event()
         self._is_started = False
         self._behind = {}
+        self._unreachable = {}
         self._loads = {}
         self._fetching = False
         self._local = object()
@@ -312,8 +316,6 @@
         if name == "command":
             database, _, text = body.decode().partition(" ")
             return _pack_status(await self._command_here(database, text))
-        if name == "floor":
-            return await self._tell_floor(body.decode())
         if name == "end":
             database, _, handle = body.decode().partition(" ")
             self._end_here(database, handle)
@@ -337,15 +339,36 @@
         found = self.groups.databases.get(database)
         if found is None:
             return None
-        for instance in self.cluster.homes(found)[:2]:
-            if instance == self.cfg_own.instance:
-                status = await self._command_here(database, text)
-            else:
-                status = await self._command_at(instance, database, text)
-            if status is not None:
-                self.groups.note_status(database, status)
-                return status
-        return None
+        first, *others = self._homes(found)[:HOMES_TRIED]
+        status = await self._command_through(first, database, text)
+        if status is None and others:
+            calls = [self._command_through(name, database, text) for name in others]
+            statuses = await asyncio.gather(*calls)
+            status = next((item for item in statuses if item is not None), None)
+        if status is not None:
+            self.groups.note_status(database, status)
+        return status
+
+    async def _command_through(self, instance, database, text):
+        if instance == self.cfg_own.instance:
+            status = await self._command_here(database, text)
+        else:
+            status = await self._command_at(instance, database, text)
+        if status is None:
+            self._note_unreachable(instance, database)
+        return status
+
+    def _homes(self, database):
+        """Return a database's homes, those that can't reach it last."""
+        now = self.now()
+        return sorted(
+            self.cluster.homes(database),
+            key=lambda name: self._unreachable.get((name, database.name), 0.0) > now,
+        )
+
+    def _note_unreachable(self, instance, database):
+        self._unreachable[(instance, database)] = self.now() + UNREACHABLE_S
+        self.metrics.count("home.unreachable")
 
     async def _command_at(self, instance, database, text):
         try:
@@ -361,11 +384,6 @@
         """Return a database's DatabaseStatus, asked through its home, or None."""
         return await self.command(database, self.ports.databases.STATUS)
 
-    async def _tell_floor(self, group):
-        """Return a floor confirmed after the question, with its age, as JSON."""
-        position = await self.groups.fence(group)
-        return json.dumps(list(position) if position else None).encode()
-
     async def _floor(self, group, max_age_s):
         """Return the position that a read of this age needs, None if unknown."""
         if max_age_s > 0:
@@ -397,16 +415,28 @@
         found = self.groups.databases.get(req.database)
         if found is None:
             return self.answer(outcomes.WRONG_DATABASE, "unknown database"), "", ""
-        return await self.run_at(self.cluster.homes(found)[0], req)
+        homes = self._homes(found)[:HOMES_TRIED]
+        end = self.now() + req.timeout
+        for instance in homes:
+            answer = await self.run_at(instance, req)
+            if answer[0].code != outcomes.UNREACHABLE:
+                break
+            self._note_unreachable(instance, req.database)
+            req.timeout = end - self.now()
+            if req.timeout <= 0:
+                break
+        return answer
 
     async def run_at(self, instance, req):
         """Run a statement at an instance that is or was the database's home."""
         if instance == self.cfg_own.instance:
             return await self._run_here(req, self._local)
+        timeout_s = req.timeout + LINK_MARGIN_S
+        if req.kind == "read" and not req.transaction:
+            # It can be read elsewhere, so a silent home costs little.
+            timeout_s = min(timeout_s, READ_REMOTE_S)
         try:
-            body = await self.cluster.call(
-                instance, "run", pack(req), req.timeout + LINK_MARGIN_S
-            )
+            body = await self.cluster.call(instance, "run", pack(req), timeout_s)
         except LinkLost as exc:
             self.metrics.count("link.run_failed")
             logs.event(
@@ -562,9 +592,12 @@
         for name, home in list(self.groups.homes.items()):
             database = self.groups.databases[name]
             first = self.cluster.first_home(database)
-            silent_s = None if first == me else self.cluster.silent_s(first)
-            is_home = self.cluster.homes(database)[0] == me
-            cap = connections_for(home.limit, silent_s, isolated)
+            standing_in_s = None
+            if first != me:
+                silent_s = self.cluster.silent_s(first)
+                standing_in_s = max(silent_s, home.asked_for_s())
+            is_home = self._homes(database)[0] == me
+            cap = connections_for(home.limit, standing_in_s, isolated)
             home.sweep(is_home, cap, idle_s)
 
     def _has_heard(self, heard, known):
@@ -577,7 +610,7 @@
             database = self.groups.databases.get(state.primary)
             if database is None:
                 continue
-            if self.cluster.homes(database)[0] == self.cfg_own.instance:
+            if self._homes(database)[0] == self.cfg_own.instance:
                 self._spawn(self.groups.fence(state.name))
 
     async def wait_started(self):
--- a/dragonflywing/outcomes.py
+++ b/dragonflywing/outcomes.py
@@ -11,6 +11,7 @@
 NOT_PRIMARY = "not_primary"
 WRONG_DATABASE = "wrong_database"
 NO_CONNECTION = "no_connection"
+UNREACHABLE = "unreachable"  # the instance asked can't reach the database
 UNKNOWN_STATEMENT = "unknown_statement"
 ABORTED = "aborted"  # nothing of the transaction is kept
 FAILED = "failed"
--- a/dragonflywing/platform/callers.py
+++ b/dragonflywing/platform/callers.py
@@ -3,12 +3,13 @@
 import asyncio
 import re
 
-from dragonflywing import logs, sessions, supervisor
+from dragonflywing import logs, outcomes, sessions, supervisor
 from dragonflywing.platform import lines
 from dragonflywing.platform.databases import CODES
 
 STARTUP_TIMEOUT_S = 3.0  # a caller that stays silent after it connected
 WORDS = {code: word for word, code in CODES.items()}
+WORDS[outcomes.UNREACHABLE] = "BUSY"
 STATES = {
     sessions.IDLE: lines.IDLE,
     sessions.IN_TRANSACTION: lines.IN_TRANSACTION,
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -155,7 +155,9 @@
         now = elapsed()
         if health.is_behind:
             return False
-        young = state.floor is not None and now - state.floor.asked_at < SOUND_S
+        if state.floor is not None:
+            health.seen_at = max(health.seen_at, state.floor.asked_at)
+        young = now - health.seen_at < SOUND_S
         return young and now - health.asked_at < ASK_S
 
     async def _look(self, group):
@@ -213,6 +215,10 @@
             quorum=quorum,
         )
         self.metrics.count(f"replacement.{reason}")
+        if reason == "silent" and any(s.is_primary for s in found.values()):
+            logs.event("replacement_not_needed", group=group)
+            self._health[group].seen_at = elapsed()
+            return
         if len(found) < quorum or not self._has_candidate(found):
             logs.event("replacement_refused", group=group, reached=len(found))
             self.metrics.count("replacement.refused")
