Wait longer between attempts at a primary; give tests ports that cannot collide

The failover test failed once: the metrics port was the peer port plus one, in the kernel's range for outgoing connections (address already in use, log kept in the test's folder). Writes to a lost primary used five attempts in 100 ms; they now back off.

--- a/dragonflywing/platform/settings.py
+++ b/dragonflywing/platform/settings.py
@@ -69,7 +69,7 @@
         caller_port=caller_port,
         ready_port=ready_port,
         peer_port=ports[0],
-        metrics_port=ports[0] + 1,
+        metrics_port=ports[1],
         store_url=f"http://{store_host}:{store_port}",
         duty_url=f"http://{duty_host}:{duty_port}",
         report_interval_s=_need(document, "heartbeat_ms", number) / 1000,
--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from dragonflywing import logs, outcomes
+from dragonflywing.decisions import retries
 from dragonflywing.decisions.positions import Position
 from dragonflywing.errors import Verdict
 
@@ -14,8 +15,9 @@
 IN_TRANSACTION = "in_transaction"
 FAILED = "failed"
 
-MAX_ATTEMPTS = 5  # a read may meet two lagging replicas and a changed primary
-PAUSE_S = 0.02  # before another attempt at the same database
+# A read may meet two lagging replicas and a changed primary; a write waits some
+# 0.5 s in all for another primary before its caller is told to come back.
+MAX_ATTEMPTS = 6
 # Part of a statement's time for which it waits for a primary to be known.
 PRIMARY_WAIT_PART = 0.6
 
@@ -315,7 +317,7 @@
             )
             tried.add(database)
             if to_primary:
-                await asyncio.sleep(PAUSE_S * random.uniform(0.5, 1.5))
+                await asyncio.sleep(retries.backoff(attempt, random))
         return self._as_promise(kind, answer)
 
     def _set_opening(self, req, route, kind, database):
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -22,17 +23,23 @@
     "batches": ("read_your_writes", 2500),
 }
 START_TIMEOUT_S = 20.0
+# Below the range from which the kernel takes ports of outgoing connections.
+PORTS = (20000, 32000)
 
 
 def free_ports(count):
-    """Return ports of 127.0.0.1 that nobody listens on."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Return ports that nobody uses and that no outgoing connection is given."""
+    found = []
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
 
 
 class Caller:
@@ -172,7 +179,6 @@
                 "ready_addr": f"127.0.0.1:{ready}",
             },
             "port_range": [first, second],
-            "metrics_port": second,
             "heartbeat_ms": 500,
             "bounds": {"revoke_ms": 5000, "grace_s": 6, "quota_window_s": 5},
             "platform": {
