--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -45,6 +45,7 @@
         self.metrics = metrics
         self.databases = {}
         self.vanished = {}
+        self.reborn = set()
         self.groups = {}
         self.homes = {}
         self.specs = {}
@@ -70,6 +71,10 @@
         old = self.databases.get(database.name)
         self.databases[database.name] = database
         self.vanished.pop(database.name, None)
+        if old is not None and old.born != database.born:
+            # A database that starts anew under its name holds nothing of before.
+            self.reborn.add(database.name)
+            logs.event("database_reborn", database=database.name, born=database.born)
         home = self.homes.get(database.name)
         if home is not None and old is not None:
             if (old.host, old.port, old.born) != (
@@ -150,9 +155,18 @@
     def note_status(self, name, status):
         """Use a status that a database has just told."""
         database = self.databases.get(name)
-        if status is not None and database is not None and status.is_primary:
+        if status is None or database is None:
+            return
+        if name in self.reborn and self._has_caught_up(database.group, status):
+            self.reborn.discard(name)
+            logs.event("database_caught_up", database=name)
+        if status.is_primary and name not in self.reborn:
             self.note_primary(database.group, name, status.term)
 
+    def _has_caught_up(self, group, status):
+        floor = self.state(group).floor
+        return floor is not None and status.received >= floor.position
+
     def note_primary(self, group, name, term):
         """Believe that `name` leads a group in a term, unless a later one is known."""
         state = self.state(group)
@@ -240,11 +254,15 @@
         except TimeoutError:
             found = None
         status = None
+        if found is not None:
+            self.note_status(query.database, found)
+        if query.database in self.reborn:
+            # What it acknowledged before its start it no longer knows.
+            found = None
         if found is None:
             self._mute_until[query.database] = self._now() + MUTE_S
         else:
             self._mute_until.pop(query.database, None)
-            self.note_status(query.database, found)
             # A paused database has promised its log to a later term.
             term = max(found.term, found.promised_term)
             status = Status(
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -624,12 +624,30 @@
         """Return whether callers can be served."""
         return self.is_confirmed() and self.has_lists and not self.cluster.leaving
 
-    async def serve(self, start_adapters, callers):
-        """Serve until SIGTERM, then end gracefully."""
+    def reload(self, load):
+        """Take changed settings; those of addresses need a new start."""
+        try:
+            own = load()
+        except UserError as exc:
+            self.metrics.count("refused.bad_settings")
+            logs.warn("reload_failed", error=str(exc))
+            return
+        old = self.cfg_own
+        self.cfg_own = own._replace(
+            host=old.host,
+            caller_port=old.caller_port,
+            ready_port=old.ready_port,
+            peer_port=old.peer_port,
+            metrics_port=old.metrics_port,
+        )
+        logs.event("reloaded", changed=own != old)
+
+    async def serve(self, start_adapters, callers, load):
+        """Serve until SIGTERM, then end gracefully; SIGHUP loads the settings."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.draining.set)
-        loop.add_signal_handler(signal.SIGHUP, logs.event, "reload_ignored")
+        loop.add_signal_handler(signal.SIGHUP, self.reload, load)
         store = self.ports.store
         await store.open()
         try:
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -239,7 +239,11 @@
 
     async def _statuses(self, members):
         answers = await asyncio.gather(*[self.node.status_of(m.name) for m in members])
-        return {m.name: s for m, s in zip(members, answers, strict=True) if s}
+        return {
+            item.name: status
+            for item, status in zip(members, answers, strict=True)
+            if status and item.name not in self.groups.reborn
+        }
 
     async def _hold(self, members, found, term):
         """Stop every database for the new term; return those that have."""
--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -305,6 +305,7 @@
                     database=database, home=home, handle=handle
                 )
             if not answer.code or not self._may_retry(kind, answer.code):
+                self._log_end(op, kind, req, home, answer, attempt, deadline)
                 break
             self.node.metrics.count(f"retry.{answer.code}")
             logs.event(
@@ -320,6 +321,20 @@
                 await asyncio.sleep(retries.backoff(attempt, random))
         return self._as_promise(kind, answer)
 
+    def _log_end(self, op, kind, req, home, answer, attempt, deadline):
+        logs.event(
+            "served" if not answer.code else "failed",
+            request=op.statement_id,
+            kind=kind,
+            code=answer.code or "ok",
+            database=req.database,
+            home=home,
+            attempt=attempt,
+            left_s=deadline - self.node.now(),
+            max_age_s=req.max_age,
+            version=self.node.version(),
+        )
+
     def _set_opening(self, req, route, kind, database):
         port = self.node.ports.databases
         if self.open is not None:
--- a/dragonflywing/ui/ops.py
+++ b/dragonflywing/ui/ops.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import json
+import os
 import sys
 
-from dragonflywing import answers, configuration, operations, typed
+from dragonflywing import answers, configuration, explain, operations, typed
 from dragonflywing.errors import UserError
 from dragonflywing.ui import command
 
@@ -119,6 +120,21 @@
 
         _finish(_run(settings, use))
 
+    def explain(self, request, *files):
+        """Show what instances decided about a request, and what they believed.
+
+        Example: dfw-ops explain 5c0e7a21d94b36f8 front-1.log front-2.log
+        """
+        lines = []
+        for path in files:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                lines += explain.parse(os.path.basename(path), file.read())
+        chain = explain.explain(str(request), lines)
+        if not chain:
+            raise UserError(f"request {request!r} is in none of {len(files)} files")
+        for line in chain:
+            print(f"{line.at} {line.source} {line.text}")
+
     def status(self, settings="ops.json"):
         """Show groups, instances, configuration version and what is wrong.
 
--- a/dragonflywing/ui/platform_entry.py
+++ b/dragonflywing/ui/platform_entry.py
@@ -14,6 +14,8 @@
 from dragonflywing.platform.store import PlatformStore, PromotionOrders
 from dragonflywing.ports import Ports
 
+LOG_DRAIN_S = 0.2  # for the last lines, of the time to end
+
 
 async def serve(own):
     """Run one instance until SIGTERM."""
@@ -36,12 +38,13 @@
         await callers.start(own.host, own.caller_port)
         await probes.start(node, own)
 
-    await node.serve(start_adapters, callers)
+    await node.serve(start_adapters, callers, settings.load)
 
 
 def main():
     """Run the daemon; exit code 2 for settings that can't be used."""
-    logs.configure(stream=sys.stdout)
+    output = logs.BoundedStream(sys.stdout)
+    logs.configure(stream=output)
     try:
         own = settings.load()
     except UserError as exc:
@@ -49,6 +52,7 @@
         return 2
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(serve(own))
+    output.drain(LOG_DRAIN_S)
     return 0
 
 
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -12,6 +12,7 @@
 
 from aiohttp import web
 
+from dragonflywing import explain
 from dragonflywing.platform import lines
 from dragonflywing.standin import platform_store
 from dragonflywing.standin.platform_database import StandinDatabase, StandinGroup
@@ -238,6 +239,13 @@
         with open(self.logs[name], encoding="utf-8") as file:
             return file.read()
 
+    def explain(self, statement_id):
+        """Return what the logs of all instances tell of a request."""
+        lines = [
+            x for name in self.logs for x in explain.parse(name, self.log_of(name))
+        ]
+        return explain.explain(statement_id, lines)
+
     async def stop(self):
         """End all processes that this started."""
         for process in self.processes.values():
--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -136,10 +136,12 @@
             await asyncio.sleep(2)
             assert (await caller.query("READ a"))[0] == ""
             await asyncio.sleep(4)
-            assert (await caller.query("READ a"))[0] == "BUSY"
+            assert (await caller.query("READ a", "unconfirmed"))[0] == "BUSY"
             site.state.is_down = False
             await asyncio.sleep(2)
             assert (await caller.query("READ a"))[0] == ""
+            kinds = [line.kind for line in site.explain("unconfirmed")]
+            assert kinds[-1] == "refused" and "confirm_failed" in kinds
 
 
 class TestRates:
@@ -165,6 +167,10 @@
             ran = len(site.group.ran) - before
             # A rate of 20/s and a burst of 20, a tenth and 20 more at most.
             assert 60 <= ran <= (5 * 20 + 20) * 1.1 + 20
+            refused = re.search("event=refused request=(\\S+)", site.log_of("front-0"))
+            chain = site.explain(refused[1])
+            assert "over the rate" in chain[-1].text
+            assert "configuration" in [line.kind for line in chain]
 
 
 class TestBadInput:
@@ -212,8 +218,13 @@
             assert (await caller.query("WRITE a 2", "doubtful"))[0] == "INDOUBT"
             runs = [item for item in site.group.ran if item[1] == "doubtful"]
             assert len(runs) == 1
-            log = site.log_of("front-0") + site.log_of("front-1")
-            assert re.search("event=answer_lost request=doubtful", log)
+            await asyncio.sleep(0.2)
+            chain = site.explain("doubtful")
+            kinds = [line.kind for line in chain]
+            assert "answer_lost" in kinds and "failed" in kinds
+            assert "primary" in kinds, "it tells which primary was believed in"
+            lost = next(line.text for line in chain if line.kind == "answer_lost")
+            assert "database=db-0 sent=True cause=ConnectionFailed" in lost
 
 
 class TestShutdown:
