--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -150,11 +150,6 @@
         """Call another instance; return the answer's bytes or raise LinkLost."""
         return await self.link(instance).call(name, body, timeout_s)
 
-    def suspect(self, instance):
-        """Note that a call failed: leave the instance out until it is heard again."""
-        self.heard_at[instance] = self._now() - SUSPECT_S
-        self._close_link(instance)
-
     def alive(self):
         """Return the other instances heard of lately that are not leaving."""
         now = self._now()
--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -6,7 +6,6 @@
 from dragonflywing.clock import elapsed
 from dragonflywing.decisions import fences, floors
 from dragonflywing.decisions.positions import (
-    Position,
     Status,
     write_quorum_complement,
 )
@@ -34,7 +33,6 @@
         self.floor = None
         self.primary_seen = asyncio.Event()
         self.fences = None
-        self.stalled_since = None
 
 
 class Groups:
@@ -293,8 +291,3 @@
             task.cancel()
         for name in list(self.homes):
             self._drop_home(name)
-
-
-def zero_floor():
-    """Return the position that every log holds."""
-    return Position(0, 0)
--- a/dragonflywing/homes.py
+++ b/dragonflywing/homes.py
@@ -11,7 +11,6 @@
 
 from dragonflywing import logs, outcomes
 from dragonflywing.decisions import admission
-from dragonflywing.decisions.positions import Position
 from dragonflywing.ports import Answer, ConnectionFailed, ConnectionRefused
 
 # Part of a database's connections for its first home; the rest is for control
@@ -123,8 +122,6 @@
         self.by_workspace = {}
         self.total = 0
         self.transactions = {}
-        self.committing = {}
-        self.last_answer_at = None
         self._waiters = {}
         self._numbers = itertools.count(1)
         self._mark = f"{random.getrandbits(32):x}"
@@ -397,7 +394,6 @@
             return self._lost(req, sent, exc), ""
         finally:
             self._release_slot(started_at)
-        self.last_answer_at = self._now()
         return self._finish(pooled, req, answer, origin)
 
     def _text(self, req, floor):
@@ -495,8 +491,6 @@
                 self.metrics.count(f"database.control.{type(exc).__name__}")
                 self._close_control()
                 return None
-        if status is not None:
-            self.last_answer_at = self._now()
         return status
 
     def _close_control(self):
@@ -532,8 +526,3 @@
         for found in self.transactions.values():
             found.pooled.conn.close()
         self._close_control()
-
-
-def position_of(answer):
-    """Return the position in an Answer as (term, index), zeros for none."""
-    return answer.position or Position(0, 0)
--- a/dragonflywing/links.py
+++ b/dragonflywing/links.py
@@ -61,10 +61,9 @@
 class Link:
     """Calls to one other instance."""
 
-    def __init__(self, host, port, on_lost=None):
+    def __init__(self, host, port):
         self.host = host
         self.port = port
-        self.on_lost = on_lost
         self._numbers = itertools.count(1)
         self._waiting = {}
         self._writer = None
@@ -116,8 +115,6 @@
             for fut in waiting.values():
                 if not fut.done():
                     fut.set_exception(LinkLost(f"{self.host}: connection lost", True))
-            if self.on_lost:
-                self.on_lost()
 
     async def call(self, name, body, timeout_s):
         """Send a call and return the answer's bytes, or raise LinkLost."""
--- a/dragonflywing/logs.py
+++ b/dragonflywing/logs.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from absl import logging
+from absl import flags, logging
 
 # Lines of one kind of event in a second, beyond which they are only counted. A
 # flood of refusals then writes some 10 KB a second.
@@ -63,6 +63,9 @@
     def flush(self):
         """Do nothing: the thread flushes."""
 
+    def close(self):
+        """Do nothing: the output is not this stream's own."""
+
     def _write_all(self):
         try:
             while True:
@@ -128,6 +131,9 @@
 def configure(level="info", stream=None):
     """Send the log to `stream`, standard error if None, at the given level."""
     logging.use_absl_handler()
+    if not flags.FLAGS.is_parsed():
+        # absl warns of lines that come before its flags, which are not used.
+        flags.FLAGS.mark_as_parsed()
     logging.set_verbosity(level)
     logging.set_stderrthreshold(level)
     if stream is not None:
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import json
 import random
 
 from dragonflywing import logs
@@ -26,9 +25,8 @@
 ASK_S = 1.5
 PROMOTE_TIMEOUT_S = 3.0  # the order is answered in milliseconds
 TAKE_EFFECT_S = 2.5  # a database leads some hundred ms after the order
-CATCH_UP_S = 0.05
-# A leaving primary is replaced once its successor can hold every write.
-RANK_DELAY_S = 0.3
+EFFECT_POLL_S = 0.05
+RANK_DELAY_S = 0.3  # instances try to take the duty one after the other
 
 
 class Replacer:
@@ -299,7 +297,7 @@
                 self.metrics.count("promotion.done")
                 logs.event("promoted", group=group, database=database, term=found.term)
                 return True
-            await asyncio.sleep(CATCH_UP_S)
+            await asyncio.sleep(EFFECT_POLL_S)
         return False
 
     async def _release(self, held):
@@ -307,8 +305,3 @@
         await asyncio.gather(
             *[self.node.command(item.database, port.RESUME) for item in held]
         )
-
-
-def describe(replacer):
-    """Return the duty's state for reports."""
-    return json.dumps({"holds": replacer.holds(), "token": replacer.token})
--- a/dragonflywing/ui/platform_entry.py
+++ b/dragonflywing/ui/platform_entry.py
@@ -14,6 +14,12 @@
 from dragonflywing.platform.store import PlatformStore, PromotionOrders
 from dragonflywing.ports import Ports
 
+USAGE = """dfw-platform: the entry daemon on the users' platform.
+
+It takes no arguments; the variable DRAGONFLYWING_CONFIG holds the path of the
+settings file that the platform writes.
+
+Example: DRAGONFLYWING_CONFIG=/etc/dragonflywing/local.json dfw-platform"""
 LOG_DRAIN_S = 0.2  # for the last lines, of the time to end
 
 
@@ -42,7 +48,10 @@
 
 
 def main():
-    """Run the daemon; exit code 2 for settings that can't be used."""
+    """Run the daemon; exit code 2 for a wrong call or unusable settings."""
+    if sys.argv[1:]:
+        print(USAGE)
+        return 0 if sys.argv[1:] == ["--help"] else 2
     output = logs.BoundedStream(sys.stdout)
     logs.configure(stream=output)
     try:
