Answer a statement over the limit with the error of its size

Cause, by test: the limit was found in the middle of the message, so the answer met a client that was still sending, with a packet number that it did not expect (error 2006 for 5 and 17 MB).

--- a/dragonflywing/wire.py
+++ b/dragonflywing/wire.py
@@ -93,23 +93,46 @@
 
 
 class LimitedReader(asyncio.StreamReader):
-    """A reader that refuses packets over a limit."""
+    """A reader that refuses messages over a limit.
+
+    A message that is too large is read to its end and thrown away, so that the
+    client is ready for the answer and its packets are numbered as it expects.
+    """
 
     max_packet = 16 * 1024 * 1024
+    FULL_PACKET = 0xFFFFFF  # a packet of this size is followed by another
+    MAX_THROWN_AWAY = 64 * 1024 * 1024  # a client that sends more is cut off
+    CHUNK = 64 * 1024
+
+    def __init__(self):
+        super().__init__()
+        self._message_bytes = 0
 
     async def readexactly(self, n):
-        if n > self.max_packet:
-            raise DfwError(errors.TOO_LARGE, f"packet of {n} bytes is too large")
-        return await super().readexactly(n)
+        self._message_bytes += n
+        if self._message_bytes <= self.max_packet:
+            return await super().readexactly(n)
+        if self._message_bytes <= self.MAX_THROWN_AWAY:
+            remaining = n
+            while remaining:
+                data = await super().readexactly(min(remaining, self.CHUNK))
+                remaining -= len(data)
+            if n == self.FULL_PACKET:
+                return b""
+        size = self._message_bytes
+        raise DfwError(errors.TOO_LARGE, f"message of {size} bytes is too large")
 
     async def read(self, n=-1):
         # The library reads headers of 4 bytes here and expects all or none.
         if n != 4:
             return await super().read(n)
         try:
-            return await super().readexactly(4)
+            header = await super().readexactly(4)
         except asyncio.IncompleteReadError:
             return b""
+        if header[3] == 0:
+            self._message_bytes = 0
+        return header
 
 
 class CallerProtocol(asyncio.StreamReaderProtocol):
--- a/test/test_wire.py
+++ b/test/test_wire.py
@@ -120,6 +120,38 @@
     return str(certificate_path), str(key_path)
 
 
+class TestTooLarge:
+    """A statement over the limit ends with the error of its size, and a count."""
+
+    def test_of_two_packets(self):
+        run(self._check(17_000_000))
+
+    def test_of_one_packet(self):
+        run(self._check(5_000_000))
+
+    async def _check(self, size):
+        async with deployed() as deployment:
+            port = deployment.entries["entry-1"][0]
+            with pytest.raises(pymysql.err.Error) as caught:
+                await asyncio.to_thread(self._send, port, size)
+            assert caught.value.args[0] == 1153
+            assert "NOT_RUN" in caught.value.args[1]
+            reports = await deployment.reports()
+            counts = [report["counters"] for report in reports.values()]
+            assert sum(item.get("refused.too_large", 0) for item in counts) == 1
+
+    def _send(self, port, size):
+        conn = pymysql.connect(
+            host="127.0.0.1",
+            port=port,
+            user="press",
+            password=key_of("press"),
+            max_allowed_packet=32_000_000,
+        )
+        with conn.cursor() as cursor:
+            cursor.execute(f"SELECT '{'x' * size}'")
+
+
 class TestTls:
     def test_serves_callers_over_tls(self, tmp_path):
         run(self._check(*make_certificate(tmp_path)))
