--- /dev/null
+++ b/dragonflywing/directory.py
@@ -0,0 +1,185 @@
+"""The documents that an instance follows: the configuration and the databases.
+
+Two instances read the configuration for all; the others take it, and the age
+of its confirmation, from them. Every instance watches the list of databases,
+and takes it from another one when the store turns it away.
+"""
+
+import asyncio
+import json
+import random
+
+from dragonflywing import logs
+from dragonflywing.clock import elapsed
+from dragonflywing.decisions import membership
+from dragonflywing.errors import StoreError, UserError
+from dragonflywing.links import LinkLost
+
+# The configuration is read this often by the instances that confirm it for all.
+CONFIRM_S = 0.8
+CONFIRMERS = 2
+# An instance that hears no confirmation for so long asks the store itself.
+CONFIRM_LATE_S = 1.8
+# Taken off the time within which a withdrawn key must stop working.
+WITHDRAWAL_MARGIN_S = 0.4
+DIRECTORY_TIMEOUT_S = 1.5  # up to some hundred KB between regions
+DIRECTORY_LATE_S = 2.5
+
+
+class Directory:
+    """The configuration in force, its confirmation, and the listed databases."""
+
+    def __init__(self, own, ports, groups, cluster, metrics):
+        self.own = own
+        self.ports = ports
+        self.groups = groups
+        self.cluster = cluster
+        self.metrics = metrics
+        self.cfg = None
+        self.cfg_bytes = b""
+        self.confirmed_at = None
+        self.has_lists = False
+        self.databases = {}
+        self.revision = 0
+        self.listed_at = None
+        self.on_configuration = None
+        self._fetching = False
+
+    def now(self):
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+    # Configuration
+
+    def version(self):
+        """Return the version of the configuration in force, 0 if there is none."""
+        return self.cfg.version if self.cfg else 0
+
+    def confirmation_age(self):
+        """Return the seconds since the store confirmed the configuration."""
+        if self.confirmed_at is None:
+            return 1e9
+        return elapsed() - self.confirmed_at
+
+    def is_confirmed(self):
+        """Return whether keys may be trusted."""
+        limit = self.own.key_withdrawal_s - WITHDRAWAL_MARGIN_S
+        return self.confirmation_age() < limit
+
+    def _offer(self, data, source):
+        try:
+            cfg = self.ports.decode_configuration(data)
+        except UserError as exc:
+            self.metrics.count("refused.bad_configuration")
+            logs.warn("bad_configuration", source=source, error=str(exc))
+            return
+        if cfg.version <= self.version():
+            return
+        self.cfg = cfg
+        self.cfg_bytes = data
+        self.groups.specs = cfg.groups
+        self.on_configuration(cfg)
+        self.metrics.count(f"configuration.from_{source}")
+        logs.event("configuration", version=cfg.version, source=source)
+
+    def confirm(self, version, asked_at):
+        if version == self.version() and self.cfg is not None:
+            if self.confirmed_at is None or asked_at > self.confirmed_at:
+                self.confirmed_at = asked_at
+
+    async def keep_confirmed(self):
+        while True:
+            names = [peer.instance for peer in self.cluster.alive()]
+            place = membership.rank("confirm", self.own.instance, names)
+            late = self.confirmation_age() > CONFIRM_LATE_S
+            if place < CONFIRMERS or late or self.cfg is None:
+                asked_at = elapsed()
+                try:
+                    item, _ = await self.ports.store.get(self.ports.configuration_key)
+                except StoreError as exc:
+                    self.metrics.count("store.confirm_failed")
+                    logs.event(
+                        "confirm_failed", error=str(exc), age_s=self.confirmation_age()
+                    )
+                else:
+                    if item is not None:
+                        if item.value != self.cfg_bytes:
+                            self._offer(item.value, "store")
+                        if item.value == self.cfg_bytes:
+                            self.confirm(self.version(), asked_at)
+            await asyncio.sleep(CONFIRM_S * random.uniform(0.8, 1.0))
+
+    # Databases
+
+    def _take_list(self, items, revision):
+        """Take a whole list of databases: {key: value}."""
+        self.databases = items
+        self.revision = revision
+        self.listed_at = self.now()
+        found = {}
+        for key, value in items.items():
+            database = self.ports.decode_database(key, value)
+            if database is None:
+                self.metrics.count("refused.bad_database_entry")
+                logs.event("bad_database_entry", key=key)
+            else:
+                found[database.name] = database
+        for name in [name for name in self.groups.databases if name not in found]:
+            self.groups.remove_database(name)
+        for database in found.values():
+            if self.groups.databases.get(database.name) != database:
+                self.groups.note_database(database)
+
+    def list_databases(self, items):
+        revision = max([item.revision for item in items], default=0)
+        self._take_list({item.key: item.value for item in items}, revision)
+        self.has_lists = True
+
+    def change_database(self, item):
+        items = dict(self.databases)
+        if item.value is None:
+            items.pop(item.key, None)
+        else:
+            items[item.key] = item.value
+        self._take_list(items, max(self.revision, item.revision))
+
+    # Documents of another instance
+
+    def is_behind(self, revision):
+        """Return whether another instance's newer list should be taken."""
+        if self.listed_at is None:
+            return True
+        late = self.now() - self.listed_at > DIRECTORY_LATE_S
+        return late and revision > self.revision
+
+    async def fetch(self, instance):
+        """Take the configuration and the list of databases from another instance."""
+        if self._fetching:
+            return
+        self._fetching = True
+        try:
+            body = await self.cluster.call(
+                instance, "documents", b"", DIRECTORY_TIMEOUT_S
+            )
+        except LinkLost as exc:
+            logs.event("documents_not_fetched", instance=instance, error=str(exc))
+            return
+        finally:
+            self._fetching = False
+        found = json.loads(body)
+        if found["configuration"]:
+            self._offer(found["configuration"].encode(), "peer")
+        if found["revision"] > self.revision:
+            items = {key: value.encode() for key, value in found["databases"].items()}
+            self._take_list(items, found["revision"])
+
+    def documents(self):
+        databases = {
+            key: value.decode(errors="replace") for key, value in self.databases.items()
+        }
+        document = {
+            "configuration": self.cfg_bytes.decode(),
+            "revision": self.revision,
+            "databases": databases,
+        }
+        return json.dumps(document).encode()
--- a/dragonflywing/platform/callers.py
+++ b/dragonflywing/platform/callers.py
@@ -125,8 +125,8 @@
                 "startup_refused",
                 route=route_name,
                 code=code,
-                version=self.node.version(),
-                age_s=self.node.confirmation_age(),
+                version=self.node.directory.version(),
+                age_s=self.node.directory.confirmation_age(),
             )
             self.writer.write(lines.encode("ERROR", WORDS[code], "startup refused"))
             return
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -36,6 +36,7 @@
         self.node = node
         self.groups = node.groups
         self.cluster = node.cluster
+        self.router = node.router
         self.store = node.ports.store
         self.metrics = node.metrics
         self.token = 0
@@ -80,7 +81,7 @@
         self.lease = 0
 
     async def _take(self):
-        if self.cluster.leaving or not self.node.has_lists:
+        if self.cluster.leaving or not self.node.directory.has_lists:
             return
         names = [peer.instance for peer in self.cluster.alive()]
         place = membership.rank("duty", self.node.cfg_own.instance, names)
@@ -136,10 +137,10 @@
         """Look after all primaries while this instance holds the duty."""
         while True:
             await asyncio.sleep(WATCH_S)
-            if not self.holds() or self.node.cfg is None:
+            if not self.holds() or self.node.directory.cfg is None:
                 self._health.clear()
                 continue
-            for group in self.node.cfg.groups:
+            for group in self.node.directory.cfg.groups:
                 task = self._running.get(group)
                 if task is None or task.done():
                     self._running[group] = asyncio.create_task(self._look(group))
@@ -171,7 +172,7 @@
         found = dict(
             zip(
                 [item.name for item in members],
-                await asyncio.gather(*[self.node.status_of(m.name) for m in members]),
+                await asyncio.gather(*[self.router.status_of(m.name) for m in members]),
                 strict=True,
             )
         )
@@ -236,7 +237,9 @@
         )
 
     async def _statuses(self, members):
-        answers = await asyncio.gather(*[self.node.status_of(m.name) for m in members])
+        answers = await asyncio.gather(
+            *[self.router.status_of(m.name) for m in members]
+        )
         return {
             item.name: status
             for item, status in zip(members, answers, strict=True)
@@ -253,7 +256,7 @@
                 continue
             text = port.step_down(term) if status.is_primary else port.pause(term)
             names.append(item)
-            calls.append(self.node.command(item.name, text))
+            calls.append(self.router.command(item.name, text))
         answers = await asyncio.gather(*calls)
         place = self.node.cfg_own.data_centre
         return [
@@ -291,7 +294,7 @@
     async def _wait_effect(self, group, database):
         end = elapsed() + TAKE_EFFECT_S
         while elapsed() < end:
-            found = await self.node.status_of(database)
+            found = await self.router.status_of(database)
             if found is not None and found.is_primary:
                 self.groups.note_status(database, found)
                 self.metrics.count("promotion.done")
@@ -303,5 +306,5 @@
     async def _release(self, held):
         port = self.node.ports.databases
         await asyncio.gather(
-            *[self.node.command(item.database, port.RESUME) for item in held]
+            *[self.router.command(item.database, port.RESUME) for item in held]
         )
--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -87,8 +87,8 @@
 
     def check(self):
         """Return the code for which the caller's route or key is refused, or ""."""
-        cfg = self.node.cfg
-        if cfg is None or not self.node.is_confirmed():
+        cfg = self.node.directory.cfg
+        if cfg is None or not self.node.directory.is_confirmed():
             return outcomes.OVERLOADED
         route = cfg.routes.get(self.route_name)
         if route is None:
@@ -105,7 +105,7 @@
 
     def route(self):
         """Return the caller's route."""
-        return self.node.cfg.routes[self.route_name]
+        return self.node.directory.cfg.routes[self.route_name]
 
     def _reply(self, code="", text="-", rows=(), position=None):
         return Reply(code, text, rows, self.state(), position)
@@ -164,7 +164,7 @@
         found, self.open = self.open, None
         self.failed = False
         if found is not None and found.handle:
-            self.node.end_transaction(found.database, found.home, found.handle)
+            self.node.router.end_transaction(found.database, found.home, found.handle)
 
     async def _commit(self, op):
         if self.failed or self.open is None:
@@ -233,8 +233,8 @@
             request=statement_id,
             code=code,
             reason=text,
-            version=self.node.version(),
-            age_s=self.node.confirmation_age(),
+            version=self.node.directory.version(),
+            age_s=self.node.directory.confirmation_age(),
         )
         return code, text
 
@@ -245,13 +245,13 @@
         code = self.check()
         if code:
             self._refused(op.statement_id, code, "route or key")
-            return self.node.answer(code, "route or key")
+            return self.node.router.answer(code, "route or key")
         if self.open is not None and self.open.handle:
             return await self._forward_inside(op, kind, text, prepared)
         return await self._forward_first(op, kind, text, prepared)
 
     def _request(self, op, kind, text, prepared, database, timeout_s):
-        return self.node.request(
+        return self.node.router.request(
             database=database,
             workspace=self.workspace,
             statement_id=op.statement_id,
@@ -269,7 +269,7 @@
             op, kind, text, prepared, found.database, self.route().timeout_s
         )
         req.transaction = found.handle
-        answer, handle, _ = await self.node.run_at(found.home, req)
+        answer, handle, _ = await self.node.router.run_at(found.home, req)
         if handle:
             return answer
         self.open = found._replace(handle="")
@@ -285,7 +285,7 @@
         is_plain = self.open is not None and not self.open.is_read_only
         to_primary = is_plain or kind == "write" or route.freshness == "current"
         tried = set()
-        answer = self.node.answer(outcomes.OVERLOADED, "no database, not run")
+        answer = self.node.router.answer(outcomes.OVERLOADED, "no database, not run")
         for attempt in range(MAX_ATTEMPTS):
             database = await self._choose(route, to_primary, tried, deadline)
             remaining = deadline - self.node.now()
@@ -294,12 +294,12 @@
             code = self.check()
             if code:
                 # The key may have been withdrawn while this waited.
-                answer = self.node.answer(code, "route or key")
+                answer = self.node.router.answer(code, "route or key")
                 break
             req = self._request(op, kind, text, prepared, database, remaining)
             self._set_opening(req, route, kind, database)
-            answer, handle, home = await self.node.run(req)
-            self.node.note_answer(req, route, answer)
+            answer, handle, home = await self.node.router.run(req)
+            self.node.router.note_answer(req, route, answer)
             if self.open is not None:
                 self.open = self.open._replace(
                     database=database, home=home, handle=handle
@@ -332,7 +332,7 @@
             attempt=attempt,
             left_s=deadline - self.node.now(),
             max_age_s=req.max_age,
-            version=self.node.version(),
+            version=self.node.directory.version(),
         )
 
     def _set_opening(self, req, route, kind, database):
@@ -341,7 +341,8 @@
             req.opening = port.BEGIN_READ if self.open.is_read_only else port.BEGIN
         if kind != "write" or req.opening:
             req.max_age = 0.0 if route.freshness == "current" else route.max_age_s
-        if route.freshness == "session" and not self.node.is_primary(route, database):
+        is_primary = self.node.router.is_primary(route, database)
+        if route.freshness == "session" and not is_primary:
             req.floor_term, req.floor_index = self.floor
 
     def _may_retry(self, kind, code):
@@ -359,8 +360,8 @@
 
     async def _choose(self, route, to_primary, tried, deadline):
         if not to_primary:
-            database = self.node.choose_reader(route, tried)
+            database = self.node.router.choose_reader(route, tried)
             if database is not None:
                 return database
         wait_s = (deadline - self.node.now()) * PRIMARY_WAIT_PART
-        return await self.node.wait_primary(route.group, wait_s)
+        return await self.node.router.wait_primary(route.group, wait_s)
