--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -23,6 +23,7 @@
 # Taken off the time within which a withdrawn key must stop working.
 WITHDRAWAL_MARGIN_S = 0.4
 DIRECTORY_TIMEOUT_S = 1.5  # up to some hundred KB between regions
+# An instance takes the list from another one if its own is older than this.
 DIRECTORY_LATE_S = 2.5
 
 
@@ -83,11 +84,13 @@
         logs.event("configuration", version=cfg.version, source=source)
 
     def confirm(self, version, asked_at):
+        """Note that `version` was the newest when it was asked for."""
         if version == self.version() and self.cfg is not None:
             if self.confirmed_at is None or asked_at > self.confirmed_at:
                 self.confirmed_at = asked_at
 
     async def keep_confirmed(self):
+        """Read the configuration when it is this instance's turn, until cancelled."""
         while True:
             names = [peer.instance for peer in self.cluster.alive()]
             place = membership.rank("confirm", self.own.instance, names)
@@ -131,11 +134,13 @@
                 self.groups.note_database(database)
 
     def list_databases(self, items):
+        """Take all databases that the store lists."""
         revision = max([item.revision for item in items], default=0)
         self._take_list({item.key: item.value for item in items}, revision)
         self.has_lists = True
 
     def change_database(self, item):
+        """Take a change of one database's entry."""
         items = dict(self.databases)
         if item.value is None:
             items.pop(item.key, None)
@@ -174,6 +179,7 @@
             self._take_list(items, found["revision"])
 
     def documents(self):
+        """Return the configuration and the list of databases for another instance."""
         databases = {
             key: value.decode(errors="replace") for key, value in self.databases.items()
         }
