--- a/test/test_links.py
+++ b/test/test_links.py
@@ -10,10 +10,8 @@
 
 
 class TestCalls:
-    async def _serve(self, handle, closed=None):
-        server = LinkServer(
-            handle, lambda origin: (closed or []).append(origin), Metrics()
-        )
+    async def _serve(self, handle, on_closed=lambda origin: None):
+        server = LinkServer(handle, on_closed, Metrics())
         await server.start("127.0.0.1", 0)
         port = server._server.sockets[0].getsockname()[1]
         return server, Link("127.0.0.1", port)
