Give deployments that start at the same time disjoint test ports

A test with four pools found 10 ports of 800 given out twice; it passes now that pools lock slices of the range.

--- a/dragonflywing/load/deployment.py
+++ b/dragonflywing/load/deployment.py
@@ -1,6 +1,7 @@
 """The users' deployments in small: real processes with faults between them."""
 
 import asyncio
+import fcntl
 import json
 import os
 import random
@@ -140,16 +141,48 @@
 
 
 class PortPool:
-    """Free ports of the loopback interface, each given out once."""
+    """Free ports of the loopback interface, each given out once.
+
+    A pool locks a slice of the range, so that deployments of several processes
+    that start at the same time never take the same port.
+    """
+
+    # Below the range from which systems take ports of outgoing connections.
+    FIRST, LAST = 10000, 32000
+    SLICES = 40
 
     def __init__(self):
-        # Below the range from which systems take ports of outgoing connections.
-        self.candidates = list(range(10000, 32000))
-        random.shuffle(self.candidates)
+        self.candidates = []
+        self._locks = []
+
+    def _add_slice(self):
+        size = (self.LAST - self.FIRST) // self.SLICES
+        for number in random.sample(range(self.SLICES), self.SLICES):
+            lock = self._lock_slice(number)
+            if lock is not None:
+                self._locks.append(lock)
+                start = self.FIRST + number * size
+                self.candidates = random.sample(range(start, start + size), size)
+                return
+        raise UserError(f"all {self.SLICES} slices of test ports are in use")
+
+    @staticmethod
+    def _lock_slice(number):
+        """Return an open locked file, None if another pool holds the slice."""
+        path = os.path.join(tempfile.gettempdir(), f"dfw-ports-{number}.lock")
+        file = open(path, "a", encoding="utf-8")
+        try:
+            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            file.close()
+            return None
+        return file
 
     def take(self):
         """Return a port that nothing listens on."""
         while True:
+            if not self.candidates:
+                self._add_slice()
             port = self.candidates.pop()
             with socket.socket() as probe:
                 try:
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -4,15 +4,14 @@
 import contextlib
 import json
 import os
-import random
 import signal
-import socket
 import sys
 import time
 
 from aiohttp import web
 
 from dragonflywing import explain
+from dragonflywing.load.deployment import PortPool
 from dragonflywing.platform import lines
 from dragonflywing.standin import platform_store
 from dragonflywing.standin.platform_database import StandinDatabase, StandinGroup
@@ -24,23 +23,6 @@
     "batches": ("read_your_writes", 2500),
 }
 START_TIMEOUT_S = 20.0
-# Below the range from which the kernel takes ports of outgoing connections.
-PORTS = (20000, 32000)
-
-
-def free_ports(count):
-    """Return ports that nobody uses and that no outgoing connection is given."""
-    found = []
-    while len(found) < count:
-        port = random.randrange(*PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in found:
-            found.append(port)
-    return found
 
 
 class Caller:
@@ -93,6 +75,7 @@
         self.processes = {}
         self.callers = {}
         self.logs = {}
+        self.ports = PortPool()
         self._ports = {}
         self._tasks = []
 
@@ -103,7 +86,7 @@
         runner = web.AppRunner(app, shutdown_timeout=0.1)
         await runner.setup()
         self._runner = runner
-        (port,) = free_ports(1)
+        port = self.ports.take()
         await web.TCPSite(runner, "127.0.0.1", port).start()
         self.store_port = port
         self._tasks.append(asyncio.create_task(self.state.expire()))
@@ -169,7 +152,7 @@
     async def start_instance(self, name, place):
         """Start an entry instance as a process."""
         if name not in self._ports:
-            self._ports[name] = free_ports(4)
+            self._ports[name] = [self.ports.take() for _ in range(4)]
         caller, ready, first, second = self._ports[name]
         settings = {
             "node": name,
