Count databases that vanished or started anew when the quorum of a group is formed

Cause: the quorum for fences and promotions was counted from the databases that an instance had seen listed itself. One that starts while a primary is dark and a replica's entry is gone counts too few; likewise after a database has been unlisted for 6 s. A promotion then loses what only those two hold, and a fence may be confirmed by a deposed primary alone.

Change: the holder of the duty keeps a roster of each group in the store, with the start of each database. A database leaves it only once enough others hold what the primary held after it vanished (decisions/rosters.py). One that started anew since the roster was written counts for nothing until it has caught up.

Ruled out: a longer time than 6 s (any time is too short for some outage).

--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -23,6 +23,14 @@
 AGE_MARGIN_S = 0.05
 
 
+def as_vote(name, found):
+    """Return what a database's status says about who leads its group."""
+    # A paused database has promised its log to a later term.
+    term = max(found.term, found.promised_term)
+    received = found.received
+    return Status(name, found.is_primary, term, received, received, False, found.busy)
+
+
 class GroupState:
     """What this instance believes of one group."""
 
@@ -43,6 +51,7 @@
         self.metrics = metrics
         self.databases = {}
         self.vanished = {}
+        self.rosters = {}  # {group: {name: born}} as the store keeps it
         self.reborn = set()
         self.groups = {}
         self.homes = {}
@@ -70,9 +79,8 @@
         self.databases[database.name] = database
         self.vanished.pop(database.name, None)
         if old is not None and old.born != database.born:
-            # A database that starts anew under its name holds nothing of before.
-            self.reborn.add(database.name)
-            logs.event("database_reborn", database=database.name, born=database.born)
+            self._distrust(database)
+        self._check_start(database)
         home = self.homes.get(database.name)
         if home is not None and old is not None:
             if (old.host, old.port, old.born) != (
@@ -119,21 +127,44 @@
         """Return the listed databases of a group."""
         return [item for item in self.databases.values() if item.group == group]
 
-    def quorum_members(self, group):
-        """Return all databases that may still acknowledge writes of a group."""
+    def note_roster(self, group, starts):
+        """Take the databases that may hold a group's writes: {name: born}."""
+        self.rosters[group] = starts
+        logs.event("roster", group=group, databases=",".join(sorted(starts)))
+        for database in self.members(group):
+            self._check_start(database)
+
+    def _check_start(self, database):
+        """Distrust a database that started anew since the roster was written."""
+        known = self.rosters.get(database.group, {}).get(database.name, database.born)
+        if known != database.born and database.name not in self.reborn:
+            self._distrust(database)
+
+    def _distrust(self, database):
+        # A database that starts anew under its name holds nothing of before.
+        self.reborn.add(database.name)
+        logs.event("database_reborn", database=database.name, born=database.born)
+
+    def quorum_names(self, group):
+        """Return the names of all databases that may hold a group's writes."""
         now = self._now()
         for name in [
             n for n, (_, at) in self.vanished.items() if now - at > VANISHED_S
         ]:
             del self.vanished[name]
-        gone = [item for item, _ in self.vanished.values() if item.group == group]
-        return self.members(group) + gone
+        names = {item.name for item in self.members(group)}
+        names.update(x.name for x, _ in self.vanished.values() if x.group == group)
+        return names | self.rosters.get(group, {}).keys()
+
+    def sync_replicas(self, group):
+        """Return how many replicas hold a write when it is acknowledged."""
+        spec = self.specs.get(group)
+        return spec.sync_replicas if spec else 1
 
     def quorum(self, group):
         """Return how many databases meet every acknowledged write of a group."""
-        spec = self.specs.get(group)
-        sync = spec.sync_replicas if spec else 1
-        return write_quorum_complement(len(self.quorum_members(group)), sync)
+        size = len(self.quorum_names(group))
+        return write_quorum_complement(size, self.sync_replicas(group))
 
     def home(self, name):
         """Return the Home held here of a listed database, None if unknown."""
@@ -193,8 +224,8 @@
     async def fence(self, group):
         """Return the primary's position, confirmed after this call; None if not."""
         state = self.state(group)
-        names = [item.name for item in self.quorum_members(group)]
-        if state.fences is None or set(state.fences.databases) != set(names):
+        names = self.quorum_names(group)
+        if state.fences is None or set(state.fences.databases) != names:
             if state.fences is None or not state.fences.served:
                 state.fences = fences.FenceState(names)
         state.fences.quorum = self.quorum(group)
@@ -261,17 +292,7 @@
             self._mute_until[query.database] = self._now() + MUTE_S
         else:
             self._mute_until.pop(query.database, None)
-            # A paused database has promised its log to a later term.
-            term = max(found.term, found.promised_term)
-            status = Status(
-                query.database,
-                found.is_primary,
-                term,
-                found.received,
-                found.received,
-                False,
-                found.busy,
-            )
+            status = as_vote(query.database, found)
         now = elapsed()
         self._act(
             state,
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -16,7 +16,7 @@
 from dragonflywing.groups import Groups
 from dragonflywing.homes import connections_for
 from dragonflywing.links import LinkServer, idl, pack, unpack
-from dragonflywing.replacer import DUTY_KEY, Replacer
+from dragonflywing.replacer import DUTY_KEY, ROSTER_PREFIX, Replacer
 from dragonflywing.router import Router, pack_answer, pack_status
 
 TICK_S = 0.1  # between looks at queues, demand and idle connections
@@ -81,6 +81,8 @@
     def _change_own(self, item):
         if item.key == DUTY_KEY:
             self.replacer.note_duty(item)
+        elif item.key.startswith(ROSTER_PREFIX):
+            self.replacer.note_roster(item)
         elif item.key.startswith(MEMBER_PREFIX):
             self.cluster.note_member(item.key, item.value)
             self._members_changed()
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -5,14 +5,18 @@
 """
 
 import asyncio
+import json
 import random
 
 from dragonflywing import logs
 from dragonflywing.clock import elapsed
-from dragonflywing.decisions import membership, replacement
+from dragonflywing.decisions import membership, replacement, rosters
+from dragonflywing.decisions.positions import confirmed_primary
 from dragonflywing.errors import StoreError
+from dragonflywing.groups import as_vote
 
 DUTY_KEY = "dfw/duty/promotion"
+ROSTER_PREFIX = "dfw/groups/"
 DUTY_LEASE_S = 3.0  # a dead holder is followed after this time
 RENEW_S = 0.8
 # The holder stops this long before its lease can have ended.
@@ -23,6 +27,8 @@
 SOUND_S = 1.1
 # Even so the databases are asked this often, for replicas that fall behind.
 ASK_S = 1.5
+# While the roster names other databases than are listed they are asked this often.
+ROSTER_ASK_S = 0.4
 PROMOTE_TIMEOUT_S = 3.0  # the order is answered in milliseconds
 TAKE_EFFECT_S = 2.5  # a database leads some hundred ms after the order
 EFFECT_POLL_S = 0.05
@@ -45,11 +51,25 @@
         self._health = {}
         self._running = {}
         self._holder = None
+        self._rosters = {}
+        self._roster_revisions = {}
 
     def note_duty(self, item):
         """Take the duty's key as it is in the store; None or no value if it is free."""
         self._holder = item if item is not None and item.value is not None else None
 
+    def note_roster(self, item):
+        """Take a group's roster as it is in the store."""
+        group = item.key[len(ROSTER_PREFIX) :]
+        self._roster_revisions[group] = item.revision if item.value is not None else 0
+        try:
+            starts = dict(json.loads(item.value)) if item.value is not None else {}
+        except (ValueError, TypeError):
+            self.metrics.count("refused.bad_roster")
+            logs.warn("bad_roster", group=group)
+            return
+        self.groups.note_roster(group, starts)
+
     def holds(self):
         """Return whether this instance may order promotions."""
         return self.token > 0 and elapsed() < self.valid_until - SAFETY_S
@@ -156,8 +176,11 @@
             return False
         if state.floor is not None:
             health.seen_at = max(health.seen_at, state.floor.asked_at)
+        listed = {item.name for item in self.groups.members(group)}
+        is_settled = listed == self.groups.rosters.get(group, {}).keys()
+        ask_s = ASK_S if is_settled else ROSTER_ASK_S
         young = now - health.seen_at < SOUND_S
-        return young and now - health.asked_at < ASK_S
+        return young and now - health.asked_at < ask_s
 
     async def _look(self, group):
         members = self.groups.members(group)
@@ -177,6 +200,7 @@
             )
         )
         reachable = {name: status for name, status in found.items() if status}
+        await self._review_roster(group, set(found), reachable)
         leaders = [n for n, status in reachable.items() if status.is_primary]
         if leaders:
             primary = max(leaders, key=lambda name: reachable[name].term)
@@ -195,10 +219,47 @@
         elif replacement.stalled(health, now):
             await self._replace(group, "stalled")
 
+    async def _review_roster(self, group, listed, reachable):
+        """Write the group's roster if it should name other databases."""
+        recorded = self.groups.rosters.get(group, {})
+        counted = {n: s for n, s in reachable.items() if n not in self.groups.reborn}
+        votes = [as_vote(name, status) for name, status in counted.items()]
+        leader = confirmed_primary(votes, len(listed), self.groups.quorum(group))
+        names = rosters.review(
+            self._rosters.setdefault(group, rosters.RosterState()),
+            set(recorded),
+            listed,
+            leader.database if leader else None,
+            {name: status.received for name, status in counted.items()},
+            self.groups.sync_replicas(group),
+        )
+        starts = {name: self._trusted_start(name, recorded) for name in sorted(names)}
+        if starts == recorded or not self.holds():
+            return
+        revision = self._roster_revisions.get(group, 0)
+        value = json.dumps(starts).encode()
+        try:
+            written = await self.store.swap(ROSTER_PREFIX + group, value, revision)
+        except StoreError as exc:
+            # Whether it was written is told by the watch.
+            self.metrics.count("roster.store_failed")
+            logs.event("roster_not_written", group=group, error=str(exc))
+            return
+        if written:
+            self._roster_revisions[group] = written
+            self.groups.note_roster(group, starts)
+
+    def _trusted_start(self, name, recorded):
+        """Return when a database started that holds what it has acknowledged."""
+        database = self.groups.databases.get(name)
+        if database is None or name in self.groups.reborn:
+            return recorded.get(name, 0)
+        return database.born
+
     # Replacing
 
     async def _replace(self, group, reason):
-        members = self.groups.quorum_members(group)
+        members = self.groups.members(group)
         quorum = self.groups.quorum(group)
         found = await self._statuses(members)
         terms = [max(s.term, s.promised_term) for s in found.values()]
--- a/dragonflywing/standin/platform_database.py
+++ b/dragonflywing/standin/platform_database.py
@@ -53,6 +53,8 @@
         for item in self.databases.values():
             if item is primary or not item.is_up or item.promised or item.is_primary:
                 continue
+            if item.is_deaf:
+                continue
             item.log = list(primary.log)
             item.term = primary.term
             asyncio.get_running_loop().call_later(self.lag_s, item.apply, len(item.log))
@@ -68,6 +70,7 @@
         self.name = name
         self.is_primary = is_primary
         self.is_up = True
+        self.is_deaf = False  # receives nothing from the primary
         self.term = 1
         self.promised = 0
         self.log = []
--- /dev/null
+++ b/test/decisions/test_rosters.py
@@ -0,0 +1,57 @@
+"""A database leaves the roster only when its writes are held elsewhere."""
+
+import itertools
+
+from dragonflywing.decisions import rosters
+from dragonflywing.decisions.positions import Position, write_quorum_complement
+
+
+def at(**indexes):
+    return {name: Position(1, index) for name, index in indexes.items()}
+
+
+class TestRosters:
+    def test_takes_listed_databases_at_once(self):
+        state = rosters.RosterState()
+        names = rosters.review(state, {"a"}, {"a", "b"}, None, {}, 1)
+        assert names == {"a", "b"}
+
+    def test_keeps_unlisted_without_a_confirmed_primary(self):
+        state = rosters.RosterState()
+        held = at(b=9, c=9)
+        names = rosters.review(state, {"a", "b", "c"}, {"b", "c"}, None, held, 1)
+        assert names == {"a", "b", "c"}
+
+    def test_keeps_unlisted_while_a_replica_is_behind(self):
+        state = rosters.RosterState()
+        group = {"a", "b", "c"}
+        for _ in range(3):
+            held = at(a=9, b=4)
+            assert rosters.review(state, group, {"a", "b"}, "a", held, 1) == group
+        assert rosters.review(state, group, {"a", "b"}, "a", at(a=12, b=9), 1) == {
+            "a",
+            "b",
+        }
+
+    def test_database_that_is_listed_again_starts_anew(self):
+        state = rosters.RosterState()
+        group = {"a", "b", "c"}
+        rosters.review(state, group, {"a", "b"}, "a", at(a=9, b=4), 1)
+        rosters.review(state, group, group, "a", at(a=12, b=4, c=12), 1)
+        held = at(a=12, b=9)
+        assert rosters.review(state, group, {"a", "b"}, "a", held, 1) == group
+
+    def test_any_quorum_left_meets_every_acknowledged_write(self):
+        names = ["a", "b", "c", "d"]
+        for acker, vanished in itertools.product("bcd", repeat=2):
+            for behind in itertools.combinations("bcd", 2):
+                # "a" leads and acknowledged write 9 with one other.
+                held = {"a": 9, **{n: 3 if n in behind else 9 for n in "bcd"}}
+                held[acker] = 9
+                received = at(**{n: x for n, x in held.items() if n != vanished})
+                state = rosters.RosterState()
+                listed = set(names) - {vanished}
+                left = rosters.review(state, set(names), listed, "a", received, 1)
+                quorum = write_quorum_complement(len(left), 1)
+                for met in itertools.combinations(sorted(left), quorum):
+                    assert any(held[name] == 9 for name in met)
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -185,6 +185,11 @@
                 stderr=log,
             )
 
+    async def kill(self, name):
+        """Kill an instance's process and wait for its end."""
+        self.processes[name].send_signal(signal.SIGKILL)
+        await self.processes[name].wait()
+
     async def is_ready(self, name):
         """Return whether an instance answers its ready probe with 200."""
         try:
--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -5,7 +5,7 @@
 import signal
 
 from test.helper import run
-from test.platform.deployment import deployed
+from test.platform.deployment import PLACES, deployed
 
 
 class TestCalmDay:
@@ -109,6 +109,40 @@
                 assert leader.value(f"n{item}")[1] == str(item)
 
 
+class TestForgottenReplica:
+    def test_write_that_only_unlisted_databases_hold_is_not_lost(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        """Restart all instances while only a replica without the write is listed."""
+        async with deployed(tmp_path) as site:
+            databases = site.group.databases
+            databases["db-1"].is_deaf = True
+            caller = await site.connect("front-0", "orders")
+            assert (await caller.query("WRITE a 1"))[0] == ""
+            await asyncio.sleep(2)
+            for name in list(site.processes):
+                await site.kill(name)
+            databases["db-0"].crash()
+            for name in ("db-0", "db-2"):
+                site.state.delete(f"servers/{name}")
+            for number, place in enumerate(PLACES):
+                await site.start_instance(f"front-{number}", place)
+            await asyncio.gather(*[site.wait_ready(name) for name in site.processes])
+            # Longer than a database that vanished counts without a record of it.
+            await asyncio.sleep(8)
+            assert not databases["db-1"].is_primary, "it lacks the write"
+            site.announce(databases["db-2"], PLACES[2])
+            caller = await site.connect("front-1", "orders")
+            code, rows = "BUSY", []
+            end = asyncio.get_running_loop().time() + 6
+            while code and asyncio.get_running_loop().time() < end:
+                code, rows, _ = await caller.query("READ a")
+                await asyncio.sleep(0.1)
+            assert code == "" and rows[0].endswith(":1")
+            assert databases["db-2"].is_primary
+
+
 class TestKeys:
     def test_withdrawn_key_stops_and_given_key_works(self, tmp_path):
         run(self._check(tmp_path))
--- /dev/null
+++ b/test/test_groups.py
@@ -0,0 +1,35 @@
+"""What an instance believes of databases that start anew or vanish."""
+
+from dragonflywing.deployment import Database
+from dragonflywing.groups import Groups
+from dragonflywing.metrics import Metrics
+from test.helper import run
+
+
+def database(name, born=1):
+    return Database(name, "orders", "127.0.0.1", 1, "here", 2, False, False, born)
+
+
+class TestRosters:
+    def test_unlisted_databases_count(self):
+        async def check():
+            groups = Groups(None, Metrics())
+            groups.note_database(database("a"))
+            groups.note_roster("orders", {"a": 1, "b": 1, "c": 1})
+            assert groups.quorum_names("orders") == {"a", "b", "c"}
+            assert groups.quorum("orders") == 2
+
+        run(check())
+
+    def test_database_started_after_the_roster_is_not_trusted(self):
+        async def check():
+            first, second = Groups(None, Metrics()), Groups(None, Metrics())
+            first.note_database(database("a", born=5))
+            first.note_roster("orders", {"a": 1, "b": 1})
+            second.note_roster("orders", {"a": 1, "b": 1})
+            second.note_database(database("a", born=5))
+            second.note_database(database("b"))
+            assert first.reborn == {"a"}
+            assert second.reborn == {"a"}
+
+        run(check())
