Pass what instances know on through relays in great fleets; hear all others sooner after a start

Change: above 16 instances each asks the relay of its data centre, relays ask one another (decisions/relays.py, exchange.py). A call to a machine that was off held on to its connection attempt after the machine had registered anew; then each step waited for the next tick. Certificates are not read, as no connection uses TLS. Cause 3, found by reading: a question that lay in a connection while its receiver stood still was taken for a process started anew, and the whole count of its sender was charged to the workspace. Messages now name their process (TestLateMessages failed first).

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -1,15 +1,16 @@
 """The other instances: found through the store, heard several times a second."""
 
 import asyncio
+import contextlib
 import json
 import random
 from typing import NamedTuple
 
 from dragonflywing import logs
 from dragonflywing.clock import elapsed
-from dragonflywing.decisions import membership
+from dragonflywing.decisions import membership, relays
 from dragonflywing.errors import HistoryLost, StoreError
-from dragonflywing.links import Link, LinkLost
+from dragonflywing.links import Link, LinkLost, pack
 
 OWN_PREFIX = "dfw/"
 MEMBER_PREFIX = OWN_PREFIX + "members/"
@@ -26,6 +27,8 @@
 UNHEARD_S = 0.1
 # Without an exchange for so long an instance is not chosen as a home.
 SUSPECT_S = 1.3
+# The same for one that only a relay tells of: the relay may have to be replaced.
+RELAYED_SUSPECT_S = 3.0
 
 
 class Peer(NamedTuple):
@@ -52,9 +55,13 @@
         self.leaving_peers = set()
         self.leaving = False
         self.exchanged_at = {}
+        self._asked = set()  # the partners of the latest round
+        self._member_came = asyncio.Event()
+        self._told_at = {}  # when each instance last asked this one
         self.make_exchange = None
         self.take_exchange = None
-        self.on_members = None
+        self.more_partners = set  # instances to ask whatever this one's role
+        self._orders = {}
         self._registered_lease = 0
 
     def _now(self):
@@ -104,6 +111,7 @@
             return
         if value is None:
             if self.peers.pop(instance, None):
+                self._orders.clear()
                 self._close_link(instance)
                 self.leaving_peers.discard(instance)
                 self.exchanged_at.pop(instance, None)
@@ -124,10 +132,12 @@
             return
         if self.peers.get(instance) != peer:
             self.peers[instance] = peer
+            self._orders.clear()
             self._close_link(instance)
             self.leaving_peers.discard(instance)
             self.exchanged_at.pop(instance, None)
             self.heard_at[instance] = self._now()
+            self._member_came.set()
             logs.event("member", instance=instance, data_centre=peer.data_centre)
 
     def _close_link(self, instance):
@@ -152,31 +162,115 @@
 
     def alive(self):
         """Return the other instances heard of lately that are not leaving."""
-        now = self._now()
         return [
             peer
             for name, peer in self.peers.items()
-            if name not in self.leaving_peers
-            and now - self.heard_at.get(name, 0.0) < SUSPECT_S
+            if name not in self.leaving_peers and not self.is_silent(name)
         ]
 
+    def is_silent(self, instance):
+        """Return whether an instance has not been heard of for too long."""
+        told_s = self._now() - self._told_at.get(instance, 0.0)
+        is_direct = instance in self._asked or told_s < RELAYED_SUSPECT_S
+        limit_s = SUSPECT_S if is_direct or self.is_small() else RELAYED_SUSPECT_S
+        return self.silent_s(instance) >= limit_s
+
+    def _order(self, subject, data_centre):
+        """Return all instances, those of a data centre first, in a fixed order."""
+        key = (subject, data_centre)
+        if key not in self._orders:
+            places = {p.instance: p.data_centre for p in self.peers.values()}
+            places[self.cfg.instance] = self.cfg.data_centre
+            order = membership.order(subject, places)
+            order.sort(key=lambda name: places[name] != data_centre)
+            self._orders[key] = order
+        return self._orders[key]
+
     def homes(self, database):
         """Return the instances that may be a database's home, the first one first."""
-        places = {peer.instance: peer.data_centre for peer in self.alive()}
-        if not self.leaving or not places:
-            places[self.cfg.instance] = self.cfg.data_centre
-        order = membership.order(database.name, places)
-        return sorted(order, key=lambda name: places[name] != database.data_centre)
+        able = {peer.instance for peer in self.alive()}
+        if not self.leaving or not able:
+            able.add(self.cfg.instance)
+        order = self._order(database.name, database.data_centre)
+        return [name for name in order if name in able]
 
     def first_home(self, database):
         """Return the first home among all registered instances, heard of or not."""
-        places = {p.instance: p.data_centre for p in self.peers.values()}
-        for name in self.leaving_peers:
-            places.pop(name, None)
-        if not self.leaving or not places:
-            places[self.cfg.instance] = self.cfg.data_centre
-        order = membership.order(database.name, places)
-        return min(order, key=lambda name: places[name] != database.data_centre)
+        for name in self._order(database.name, database.data_centre):
+            is_own = name == self.cfg.instance
+            if not (self.leaving if is_own else name in self.leaving_peers):
+                return name
+        return self.cfg.instance
+
+    # Roles
+
+    def names_in(self, data_centre):
+        """Return the other instances of a data centre."""
+        peers = self.peers.values()
+        return {peer.instance for peer in peers if peer.data_centre == data_centre}
+
+    def relay(self, data_centre):
+        """Return the relay of a data centre, None if all there are silent."""
+        able = {p.instance for p in self.alive() if p.data_centre == data_centre}
+        if data_centre == self.cfg.data_centre and not self.leaving:
+            able.add(self.cfg.instance)
+        order = self._order("relay", data_centre)
+        return next((name for name in order if name in able), None)
+
+    def relays(self):
+        """Return the relay of each data centre."""
+        places = {p.data_centre for p in self.peers.values()}
+        return {place: self.relay(place) for place in places | {self.cfg.data_centre}}
+
+    def is_small(self):
+        """Return whether all instances ask all others."""
+        return len(self.peers) + 1 <= relays.DIRECT_SIZE
+
+    def role(self):
+        """Return this instance's relays.Role."""
+        if self.is_small():
+            return relays.Role.DIRECT
+        own_relay = self.relay(self.cfg.data_centre)
+        return relays.role(self.cfg.instance, len(self.peers) + 1, own_relay)
+
+    def partners(self):
+        """Return the instances that this one asks."""
+        registered = {p.instance: p.data_centre for p in self.peers.values()}
+        role = self.role()
+        if role is relays.Role.DIRECT:
+            return set(registered)
+        place = self.cfg.data_centre
+        found = relays.partners(role, place, registered, self.relays())
+        return (found | self.more_partners()) & registered.keys()
+
+    def confirm_rank(self):
+        """Return this instance's place among those that may ask the store for all."""
+        names = [peer.instance for peer in self.alive()]
+        role = self.role()
+        if role is not relays.Role.DIRECT:
+            names = [name for name in self.relays().values() if name]
+        if role is relays.Role.MEMBER:
+            return len(names)
+        return membership.rank("confirm", self.cfg.instance, names)
+
+    def note_heard(self, instance):
+        """Note that an instance was heard just now."""
+        self.heard_at[instance] = self._now()
+
+    def note_question(self, instance):
+        """Note that an instance asked this one just now."""
+        self._told_at[instance] = self._now()
+        if not self.is_small():
+            self.note_heard(instance)
+
+    def note_relayed(self, scope, silent, leaving):
+        """Take a relay's word on which instances of `scope` it hears."""
+        now = self._now()
+        for name in scope - set(silent):
+            self.heard_at[name] = now
+        for name in scope & set(silent) - self._asked:
+            self.heard_at[name] = now - RELAYED_SUSPECT_S
+        self.leaving_peers |= scope & set(leaving)
 
     def silent_s(self, instance):
         """Return the seconds since an instance was heard of."""
@@ -189,11 +283,12 @@
     # Exchange
 
     async def exchange(self):
-        """Exchange beliefs with all other instances until cancelled."""
+        """Exchange beliefs with this instance's partners until cancelled."""
         running, begun = {}, {}
         while True:
             now = self._now()
-            for instance in list(self.peers):
+            partners = self._asked = self.partners()
+            for instance in partners:
                 task = running.get(instance)
                 recent = now - begun.get(instance, 0.0) < 0.7 * EXCHANGE_S
                 if recent and instance in self.exchanged_at:
@@ -201,25 +296,33 @@
                 if task is None or task.done():
                     begun[instance] = now
                     running[instance] = asyncio.create_task(self._exchange(instance))
-            unheard = self.peers.keys() - self.exchanged_at.keys()
+            unheard = partners - self.exchanged_at.keys()
             pause = UNHEARD_S if unheard else EXCHANGE_S
-            await asyncio.sleep(pause * random.uniform(0.8, 1.2))
+            await self._wait_member(pause * random.uniform(0.8, 1.2))
+
+    async def _wait_member(self, pause_s):
+        """Wait for a time, or until an instance registers."""
+        self._member_came.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._member_came.wait()
 
     async def _exchange(self, instance):
         asked_at = elapsed()
+        question = self.make_exchange()
         try:
             answer = await self.call(
-                instance, "exchange", self.make_exchange(), EXCHANGE_TIMEOUT_S
+                instance, "exchange", pack(question), EXCHANGE_TIMEOUT_S
             )
         except LinkLost:
             self.metrics.count("link.exchange_failed")
-            if self.silent_s(instance) > SUSPECT_S:
+            if self.is_silent(instance):
                 # The connection may have gone silent while new ones work.
                 self._close_link(instance)
             return
-        self.heard_at[instance] = self._now()
-        self.exchanged_at[instance] = asked_at
-        await self.take_exchange(instance, answer, asked_at)
+        self.note_heard(instance)
+        self.exchanged_at[instance] = self._now()
+        await self.take_exchange(instance, question, answer, asked_at)
 
     def close(self):
         """Close all connections to other instances."""
@@ -227,10 +330,11 @@
             self._close_link(instance)
 
 
-async def follow(store, prefix, on_list, on_change, metrics):
+async def follow(store, prefix, on_list, on_change, metrics, gather_s=lambda: 0.0):
     """Follow all keys under a prefix until cancelled.
 
     `on_list(items)` takes a whole list, `on_change(item)` one change after it.
+    Each answer costs a call: changes within `gather_s()` come with one.
     """
     is_up = True
     while True:
@@ -244,6 +348,8 @@
                 changes, revision = await store.watch(prefix, revision, WATCH_S)
                 for item in changes:
                     on_change(item)
+                if changes:
+                    await asyncio.sleep(gather_s())
         except StoreError as exc:
             if is_up:
                 logs.event("store_lost", prefix=prefix, error=str(exc))
--- a/dragonflywing/decisions/division.py
+++ b/dragonflywing/decisions/division.py
@@ -14,9 +14,13 @@
 
 An instance that is no longer heard of keeps its part until it must itself have
 stopped.
+
+What the others tell comes in units: of one instance each, or the sums of a data
+centre or of the whole rest of the fleet where relays pass it on.
 """
 
 import math
+from collections import Counter
 
 EVEN_PART = 0.2  # of the rate, divided evenly over all instances
 DEMAND_PERIOD_S = 0.25  # over which arrivals are counted
@@ -45,12 +49,19 @@
 
 
 class DivisionState:
-    """The buckets of this instance and what others have told."""
+    """The buckets of this instance and what other units have told.
+
+    `others` holds each unit's demand, `admitted` its count as last told and
+    `grown` by how much that has grown since it was first heard.
+    """
 
     def __init__(self):
         self.buckets = {}
         self.others = {}
         self.admitted = {}
+        self.grown = {}
+        self.sources = {}
+        self.count = 1
         self.counted_at = None
         self.heard_all = False
 
@@ -69,38 +80,67 @@
         bucket.burst = burst
 
 
-def hear(state, now, instance, demand, admitted):
-    """Note the demand of another instance and how many operations it admitted."""
-    state.others[instance] = demand
-    before = state.admitted.get(instance)
-    state.admitted[instance] = dict(admitted)
-    if before is None:
+def hear(state, now, unit, demand, admitted, source=None, is_sum=False):
+    """Note the demand of another unit and how many operations it admitted.
+
+    `source` is the process that counted. A later process of an instance counts
+    from 0, another relay's sum does not compare with the one known before.
+    """
+    before = state.admitted.get(unit)
+    is_known = before is not None and state.sources.get(unit) == source
+    if is_known and any(n < before.get(name, 0) for name, n in admitted.items()):
+        # A message that lay in a connection while this process stood still.
+        return
+    state.others[unit] = demand
+    state.admitted[unit] = dict(admitted)
+    state.sources[unit] = source
+    if before is None or (is_sum and not is_known):
         return
+    sums = state.grown.setdefault(unit, Counter())
     for name, count in admitted.items():
-        # A count that fell is that of a process started anew.
-        known = before.get(name, 0)
-        grown = count - known if count >= known else count
+        grown = count - before.get(name, 0) if is_known else count
         if grown and name in state.buckets:
+            sums[name] += grown
             _fill(state, now, name).whole -= grown
 
 
-def keep_only(state, instances):
-    """Forget instances that have stopped; new ones count without demand."""
-    state.others = {name: state.others.get(name, {}) for name in instances}
-    state.admitted = {
-        name: counts for name, counts in state.admitted.items() if name in state.others
-    }
+def keep_only(state, units, count=None):
+    """Forget units that have ended; new ones count without demand.
+
+    `count` is the number of instances, by default one for each unit.
+    """
+    state.count = count or len(units) + 1
+    state.others = {name: state.others.get(name, {}) for name in units}
+    for known in (state.admitted, state.grown, state.sources):
+        for name in known.keys() - state.others.keys():
+            del known[name]
+
+
+def totals(state, units):
+    """Return the demand and growing counts of this instance and some units."""
+    own_demand, own_admitted = report(state)
+    demand, admitted = Counter(own_demand), Counter(own_admitted)
+    for unit in units:
+        demand.update(state.others.get(unit, {}))
+        admitted.update(state.grown.get(unit, {}))
+    return dict(demand), dict(admitted)
+
+
+def rest(total, own):
+    """Return what of a sum is not one's own."""
+    names = total.keys() | own.keys()
+    return {name: total.get(name, 0) - own.get(name, 0) for name in names}
 
 
 def share(state, workspace):
     """Return this instance's part of a workspace's rate and burst."""
     bucket = state.buckets[workspace]
-    count = len(state.others) + 1
+    count = state.count
     if not state.heard_all:
         # Until the others' demand is known, no more than the even part is safe.
         return EVEN_PART / count
     total = bucket.demand + sum(
-        demand.get(workspace, 0.0) for demand in state.others.values()
+        max(0.0, demand.get(workspace, 0.0)) for demand in state.others.values()
     )
     weighted = bucket.demand / total if total > 0 else 1.0 / count
     return EVEN_PART / count + (1 - EVEN_PART) * weighted
@@ -118,7 +158,7 @@
     bucket = state.buckets[workspace]
     elapsed = max(0.0, now - bucket.filled_at)
     bucket.filled_at = now
-    part = max(share(state, workspace), SAVED_PARTS / (len(state.others) + 1))
+    part = max(share(state, workspace), SAVED_PARTS / state.count)
     # A part of less than one token would never serve anything.
     cap = max(1.0, bucket.burst * min(part, 1.0))
     overdrawn_s = max(0.0, -bucket.whole) / bucket.rate if bucket.rate else elapsed
@@ -175,7 +215,7 @@
     for bucket in state.buckets.values():
         if bucket.is_new:
             bucket.is_new = False
-            bucket.tokens += bucket.burst / (len(state.others) + 1)
+            bucket.tokens += bucket.burst / state.count
             bucket.whole = max(bucket.whole, FULL_ENOUGH * bucket.burst)
 
 
--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -11,7 +11,7 @@
 
 from dragonflywing import logs
 from dragonflywing.clock import elapsed
-from dragonflywing.decisions import membership
+from dragonflywing.decisions.relays import Role
 from dragonflywing.errors import StoreError, UserError
 from dragonflywing.links import LinkLost
 
@@ -20,6 +20,8 @@
 CONFIRMERS = 2
 # An instance that hears no confirmation for so long asks the store itself.
 CONFIRM_LATE_S = 1.8
+# Later where relays pass the confirmation on: one more exchange.
+RELAYED_S = 0.8
 # Taken off the time within which a withdrawn key must stop working.
 WITHDRAWAL_MARGIN_S = 0.4
 DIRECTORY_TIMEOUT_S = 1.5  # up to some hundred KB between regions
@@ -92,9 +94,10 @@
     async def keep_confirmed(self):
         """Read the configuration when it is this instance's turn, until cancelled."""
         while True:
-            names = [peer.instance for peer in self.cluster.alive()]
-            place = membership.rank("confirm", self.own.instance, names)
-            late = self.confirmation_age() > CONFIRM_LATE_S
+            place = self.cluster.confirm_rank()
+            has_relays = self.cluster.role() is not Role.DIRECT
+            limit_s = CONFIRM_LATE_S + (RELAYED_S if has_relays else 0.0)
+            late = self.confirmation_age() > limit_s
             if place < CONFIRMERS or late or self.cfg is None:
                 asked_at = elapsed()
                 try:
--- a/dragonflywing/link.thrift
+++ b/dragonflywing/link.thrift
@@ -38,20 +38,34 @@
   6: double floor_age,      // below 0: no floor is known
 }
 
-// What an instance tells each other one, twice a second.
+// What an instance tells those that it asks, twice a second. Ages are left out,
+// as a question may lie unread for long.
 struct Exchange {
   1: string instance,
   2: bool leaving,
   3: map<string, double> demand,    // operations a second by workspace
   4: map<string, i64> admitted,     // operations since the start by workspace
+  5: i64 config_version,
+  6: i64 directory_revision,
+  7: list<GroupView> groups,        // only in fleets with relays
 }
 
-// The answer to it; ages count from the question.
+// What a relay knows of its data centre, or tells those in it of the whole fleet.
+struct Summary {
+  1: bool complete,                 // whether all live instances were heard
+  2: map<string, double> demand,
+  3: map<string, i64> admitted,     // a sum that only grows
+  4: list<string> silent,           // instances not heard of lately
+  5: list<string> leaving,
+}
+
+// The answer to an exchange; ages count from the question.
 struct Beliefs {
   1: i64 config_version,
   2: double config_age,
   3: i64 directory_revision,
   4: list<GroupView> groups,
+  5: optional Summary summary,      // of relays only
 }
 
 // One call or its answer; `body` is one of the above or text.
--- a/dragonflywing/links.py
+++ b/dragonflywing/links.py
@@ -87,6 +87,10 @@
             await asyncio.shield(opening)
         except (TimeoutError, OSError) as exc:
             raise LinkLost(f"{self.host}: {type(exc).__name__}") from None
+        except asyncio.CancelledError:
+            if opening.cancelled():
+                raise LinkLost(f"{self.host}: closed while opening") from None
+            raise
         finally:
             if opening.done() and self._opening is opening:
                 self._opening = None
@@ -140,7 +144,9 @@
             raise LinkLost(f"{self.host}: no answer to {name}", sent) from None
 
     def close(self):
-        """Close the connection."""
+        """Close the connection; calls that wait for one end at once."""
+        if self._opening is not None:
+            self._opening.cancel()
         if self._writer is not None:
             self._drop(self._writer)
         if self._reading is not None:
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -9,16 +9,20 @@
 from dragonflywing import logs, supervisor
 from dragonflywing.clock import elapsed
 from dragonflywing.cluster import MEMBER_PREFIX, OWN_PREFIX, Cluster, follow
-from dragonflywing.decisions import division, floors
-from dragonflywing.decisions.positions import Position
+from dragonflywing.decisions import division
+from dragonflywing.decisions.relays import Role
 from dragonflywing.directory import Directory
 from dragonflywing.errors import UserError
+from dragonflywing.exchange import Exchange
 from dragonflywing.groups import Groups
 from dragonflywing.homes import connections_for
-from dragonflywing.links import LinkServer, idl, pack, unpack
+from dragonflywing.links import LinkLost, LinkServer, idl, unpack
 from dragonflywing.replacer import DUTY_KEY, ROSTER_PREFIX, Replacer
 from dragonflywing.router import Router, pack_answer, pack_status
 
+# In a great fleet, registrations of instances that start together come with few
+# calls; in a small one the calls cost less than the delay.
+GATHER_S = 0.2
 TICK_S = 0.1  # between looks at queues, demand and idle connections
 FENCE_PERIOD_S = 0.45  # a floor stays far younger than the ages of the routes
 # After SIGTERM: the balancer needs two missed probes, one a second.
@@ -27,6 +31,8 @@
 # A caller that connects while the instance starts waits up to this time; it
 # would give up after 2 s.
 START_WAIT_S = 1.2
+# Beyond its own time for an operation's turn, until a relay counts as lost.
+RELAY_MARGIN_S = 0.15
 START_POLL_S = 0.02  # far below what a caller notices
 
 
@@ -39,14 +45,18 @@
         self.metrics = metrics
         self.groups = Groups(ports, metrics)
         self.cluster = Cluster(own, ports.store, metrics)
-        self.cluster.make_exchange = self._make_exchange
-        self.cluster.take_exchange = self._take_exchange
         parts = (own, ports, self.groups, self.cluster, metrics)
         self.directory = Directory(*parts)
         self.directory.on_configuration = self._configure
         self.router = Router(*parts)
         self.groups.status_of = self.router.status_of
         self.division = division.DivisionState()
+        self.exchange = Exchange(
+            own, self.groups, self.cluster, self.directory, self.division
+        )
+        self.cluster.make_exchange = self.exchange.question
+        self.cluster.take_exchange = self.exchange.take
+        self.cluster.more_partners = self._homes_of_groups
         self.replacer = Replacer(self)
         self.links = LinkServer(self._handle, self._link_closed, metrics)
         self.draining = asyncio.Event()
@@ -85,73 +95,6 @@
             self.replacer.note_roster(item)
         elif item.key.startswith(MEMBER_PREFIX):
             self.cluster.note_member(item.key, item.value)
-            self._members_changed()
-
-    def _members_changed(self):
-        division.keep_only(self.division, self.cluster.peers)
-
-    # Exchange with the other instances
-
-    def _make_exchange(self):
-        """Return what the others need of this instance whatever its age."""
-        demand, admitted = division.report(self.division)
-        return pack(
-            idl.Exchange(
-                instance=self.cfg_own.instance,
-                leaving=self.cluster.leaving,
-                demand=demand,
-                admitted=admitted,
-            )
-        )
-
-    def _answer_exchange(self):
-        """Return what this instance believes, with ages, for the one that asks."""
-        now = elapsed()
-        views = []
-        for state in self.groups.groups.values():
-            floor = state.floor
-            position = floor.position if floor else Position(0, 0)
-            views.append(
-                idl.GroupView(
-                    group=state.name,
-                    primary=state.primary or "",
-                    term=state.term,
-                    floor_term=position.term,
-                    floor_index=position.index,
-                    floor_age=now - floor.asked_at if floor else -1.0,
-                )
-            )
-        return pack(
-            idl.Beliefs(
-                config_version=self.directory.version(),
-                config_age=self.directory.confirmation_age(),
-                directory_revision=self.directory.revision,
-                groups=views,
-            )
-        )
-
-    def _hear(self, message):
-        """Use what another instance tells with its question."""
-        name = message.instance
-        if name not in self.cluster.peers:
-            return
-        if message.leaving:
-            self.cluster.leaving_peers.add(name)
-        division.hear(self.division, elapsed(), name, message.demand, message.admitted)
-
-    async def _take_exchange(self, instance, body, asked_at):
-        message = unpack(idl.Beliefs, body)
-        for view in message.groups:
-            if view.primary and view.term:
-                self.groups.note_primary(view.group, view.primary, view.term)
-            if view.floor_age >= 0:
-                position = Position(view.floor_term, view.floor_index)
-                floor = floors.Floor(position, asked_at - view.floor_age)
-                self.groups.note_floor(view.group, floor)
-        late = self.directory.is_behind(message.directory_revision)
-        if message.config_version > self.directory.version() or late:
-            await self.directory.fetch(instance)
-        self.directory.confirm(message.config_version, asked_at - message.config_age)
 
     async def _handle(self, name, body, origin):
         """Answer a call of another instance."""
@@ -160,8 +103,11 @@
             answer, handle, _ = await self.router.run_here(req, origin)
             return pack_answer(answer, handle, self.router.wait_s(req.database))
         if name == "exchange":
-            self._hear(unpack(idl.Exchange, body))
-            return self._answer_exchange()
+            return self.exchange.answer(body)
+        if name == "admit":
+            patience, _, workspace = body.decode().partition(" ")
+            wait_s = await self._admit_here(workspace, float(patience))
+            return f"{wait_s:.3f}".encode()
         if name == "command":
             database, _, text = body.decode().partition(" ")
             return pack_status(await self.router.command_here(database, text))
@@ -177,6 +123,9 @@
         for home in self.groups.homes.values():
             home.end_all_of(origin)
 
+    def _gather_s(self):
+        return 0.0 if self.cluster.is_small() else GATHER_S
+
     # What sessions ask
 
     async def admit(self, workspace, patience_s):
@@ -184,6 +133,31 @@
 
         Waits for the operation's turn if that comes within `patience_s`.
         """
+        if self.cluster.role() is Role.MEMBER:
+            wait_s = await self._admit_at_relay(workspace, patience_s)
+            if wait_s is not None:
+                return wait_s
+        return await self._admit_here(workspace, patience_s)
+
+    async def _admit_at_relay(self, workspace, patience_s):
+        """Take an operation from the data centre's part; None if that failed.
+
+        In a great fleet a workspace sends each instance an operation now and
+        then; parts of the rate for each instance would refuse most of them.
+        """
+        relay = self.cluster.relay(self.cfg_own.data_centre)
+        body = f"{patience_s:.3f} {workspace}".encode()
+        try:
+            answer = await self.cluster.call(
+                relay, "admit", body, patience_s + RELAY_MARGIN_S
+            )
+        except LinkLost as exc:
+            self.metrics.count("rate.relay_failed")
+            logs.event("relay_lost", relay=relay, error=str(exc))
+            return None
+        return float(answer)
+
+    async def _admit_here(self, workspace, patience_s):
         if workspace not in self.division.buckets:
             return patience_s
         division.arrive(self.division, workspace)
@@ -207,9 +181,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             division.measure(self.division, elapsed())
-            heard = set(self.division.others)
-            known = set(self.division.admitted)
-            division.note_heard(self.division, self._has_heard(heard, known))
+            self.exchange.review_units()
             self._sweep_homes()
             if self.now() >= next_fence:
                 next_fence = self.now() + FENCE_PERIOD_S
@@ -230,10 +202,20 @@
             cap = connections_for(home.limit, standing_in_s, isolated)
             home.sweep(is_home, cap, idle_s)
 
-    def _has_heard(self, heard, known):
-        """Return whether only instances that do not answer are unheard."""
-        alive = {peer.instance for peer in self.cluster.alive()}
-        return not (heard & alive) - known
+    def _homes_of_groups(self):
+        """Return the homes of all databases of the groups that this one serves.
+
+        Floors are found at a primary's home and needed at those of its replicas.
+        """
+        me, found = self.cfg_own.instance, set()
+        for group in self.groups.groups:
+            homes = {
+                self.router.homes(database)[0]
+                for database in self.groups.members(group)
+            }
+            if me in homes:
+                found |= homes
+        return found - {me}
 
     def _refresh_floors(self):
         for state in self.groups.groups.values():
@@ -310,6 +292,7 @@
                 self._list_own,
                 self._change_own,
                 self.metrics,
+                self._gather_s,
             ),
             "databases": lambda: follow(
                 store,
--- a/test/decisions/test_division.py
+++ b/test/decisions/test_division.py
@@ -38,7 +38,8 @@
         for name, state in self.states.items():
             for other, (demand, admitted) in reports.items():
                 if other != name:
-                    division.hear(state, self.now, other, demand, admitted)
+                    source = id(self.states[other])
+                    division.hear(state, self.now, other, demand, admitted, source)
             division.note_heard(state, True)
 
     def step(self, seconds):
@@ -59,6 +60,10 @@
         self.admitted.append(self.now)
         return True
 
+    def whole(self, name):
+        """Return what an instance believes of the workspace's whole bucket."""
+        return self.states[name].buckets["w"].whole
+
     def most_in_window(self):
         """Return the most operations admitted in any window."""
         most, start = 0, 0
@@ -69,6 +74,59 @@
         return most
 
 
+class RelayedFleet(Fleet):
+    """A fleet in data centres of `size`, the first instance of each its relay."""
+
+    def __init__(self, count, size, delay_s=0.5):
+        self.size = size
+        super().__init__(count, delay_s)
+
+    def places(self):
+        """Return the instances of each data centre, its relay first."""
+        names = list(self.states)
+        return [names[i : i + self.size] for i in range(0, len(names), self.size)]
+
+    def add(self, name):
+        """Start an instance."""
+        state = division.DivisionState()
+        division.configure(state, self.now, {"w": (RATE, BURST)})
+        self.states[name] = state
+        for place in self.places():
+            relay, *members = place
+            sums = [f"sum of {x[0]}" for x in self.places() if x is not place]
+            for member in members:
+                division.keep_only(self.states[member], ["fleet"], len(self.states))
+            units = members + [x for x in sums if x != f"sum of {relay}"]
+            division.keep_only(self.states[relay], units, len(self.states))
+
+    def tell(self):
+        """Let members tell their relays, those each other, and those members."""
+        for relay, *members in self.places():
+            for name in members:
+                demand, admitted = division.report(self.states[name])
+                division.hear(
+                    self.states[relay], self.now, name, demand, admitted, name
+                )
+        sums = {
+            relay: division.totals(self.states[relay], members)
+            for relay, *members in self.places()
+        }
+        for relay in sums:
+            for other, (demand, admitted) in sums.items():
+                if other != relay:
+                    unit, state = f"sum of {other}", self.states[relay]
+                    division.hear(state, self.now, unit, demand, admitted, other, True)
+            division.note_heard(self.states[relay], True)
+        for relay, *members in self.places():
+            state = self.states[relay]
+            total = division.totals(state, list(state.others))
+            for name in members:
+                own = division.report(self.states[name])
+                rest = [division.rest(*pair) for pair in zip(total, own, strict=True)]
+                division.hear(self.states[name], self.now, "fleet", *rest, relay, True)
+                division.note_heard(self.states[name], True)
+
+
 LIMIT = (RATE * WINDOW_S + BURST) * 1.1 + 20
 
 
@@ -179,3 +237,55 @@
 TestInstances.settings = settings(
     max_examples=40, stateful_step_count=40, deadline=None, derandomize=True
 )
+
+
+class TestRelays:
+    """Loads on instances that know each other by sums only."""
+
+    def test_workspace_inside_its_rate_is_served(self):
+        fleet = RelayedFleet(20, 5)
+        rng = random.Random(4)
+        names = ["i2", "i7", "i8", "i19"]
+        play(fleet, names, 0.7 * RATE, 10, rng)
+        assert play(fleet, names, 0.7 * RATE, 20, rng) >= 0.99
+
+    def test_loud_workspace_stays_within_the_window(self):
+        # Sums take up to three exchanges to reach all.
+        fleet = RelayedFleet(20, 5, delay_s=1.5)
+        rng = random.Random(5)
+        for seed in range(3):
+            play(fleet, [f"i{seed}", "i6", "i12", "i18"], 7.5 * RATE, 12, rng)
+        assert fleet.most_in_window() <= LIMIT
+
+    def test_all_know_what_was_admitted(self):
+        fleet = RelayedFleet(20, 5)
+        fleet.tell()
+        before = {name: fleet.whole(name) for name in fleet.states}
+        for name in ("i0", "i3", "i11"):
+            fleet.states[name].buckets["w"].tokens = 3.0
+            for _ in range(3):
+                assert fleet.ask(name)
+        fleet.tell()
+        assert {before[name] - fleet.whole(name) for name in before} == {9.0}
+
+
+class TestLateMessages:
+    def test_counts_that_lay_unread_change_nothing(self):
+        state = division.DivisionState()
+        division.configure(state, 0.0, {"w": (RATE, BURST)})
+        division.keep_only(state, ["other"])
+        division.hear(state, 0.0, "other", {}, {"w": 500}, "process 1")
+        division.hear(state, 0.0, "other", {"w": 3.0}, {"w": 504}, "process 1")
+        whole = state.buckets["w"].whole
+        division.hear(state, 0.0, "other", {"w": 9.0}, {"w": 502}, "process 1")
+        assert state.buckets["w"].whole == whole
+        assert state.others["other"] == {"w": 3.0}
+
+    def test_process_started_anew_counts_from_zero(self):
+        state = division.DivisionState()
+        division.configure(state, 0.0, {"w": (RATE, BURST)})
+        division.keep_only(state, ["other"])
+        division.hear(state, 0.0, "other", {}, {"w": 500}, "process 1")
+        whole = state.buckets["w"].whole
+        division.hear(state, 0.0, "other", {}, {"w": 3}, "process 2")
+        assert state.buckets["w"].whole == whole - 3
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -1,6 +1,7 @@
 """Calls between instances over one connection."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -54,6 +55,24 @@
         link.close()
         server.close()
 
+    def test_closing_ends_calls_that_wait_for_a_connection(self):
+        run(self._closed_while_opening())
+
+    async def _closed_while_opening(self):
+        # A full queue of new connections: the next one hangs, as to a machine
+        # that is off.
+        with socket.socket() as full, socket.socket() as first:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            first.connect(full.getsockname())
+            link = Link(*full.getsockname())
+            call = asyncio.create_task(link.call("run", b"", 5.0))
+            await asyncio.sleep(0.05)
+            link.close()
+            with pytest.raises(LinkLost) as caught:
+                await asyncio.wait_for(call, 0.2)
+            assert not caught.value.sent
+
     def test_call_that_was_not_sent_says_so(self):
         run(self._not_sent())
 
