Serve metrics by prometheus_client: counters, histograms with buckets, gauges of beliefs

The histogram of our own gives way to the library's; statsd gets times and works out quantiles itself. Latency of statements by kind of route and outcome, waiting for a slot apart from the database's time.

--- /dev/null
+++ b/dragonflywing/beliefs.py
@@ -0,0 +1,76 @@
+"""What an instance believes, as gauges on its metrics address.
+
+Labels are names of the configuration: its groups, its workspaces and the
+databases listed for them.
+"""
+
+from dragonflywing.clock import elapsed
+from dragonflywing.decisions import division
+from dragonflywing.metrics import Gauge
+
+
+def gauges(node):
+    """Return the Gauges of an instance."""
+    groups, cluster, directory = node.groups, node.cluster, node.directory
+
+    def one(read):
+        return lambda: {(): read()}
+
+    def store_age():
+        answered_at = node.ports.store.answered_at
+        return -1.0 if answered_at is None else elapsed() - answered_at
+
+    def terms():
+        return {(name,): state.term for name, state in groups.groups.items()}
+
+    def primaries():
+        states = groups.groups.values()
+        return {(x.name, x.primary): 1 for x in states if x.primary}
+
+    def floor_ages():
+        now = elapsed()
+        states = [state for state in groups.groups.values() if state.floor]
+        return {(x.name,): now - x.floor.asked_at for x in states}
+
+    def shares():
+        rates = node.division
+        return {(name,): division.share(rates, name) for name in rates.buckets}
+
+    def queues():
+        homes = groups.homes.items()
+        return {(name,): home.admission.waiting() for name, home in homes}
+
+    def connections():
+        return {(name,): home.total for name, home in groups.homes.items()}
+
+    return [
+        Gauge("config_version", "Version in force.", (), one(directory.version)),
+        Gauge(
+            "config_age_seconds",
+            "Since the store confirmed that version.",
+            (),
+            one(directory.confirmation_age),
+        ),
+        Gauge(
+            "store_age_seconds",
+            "Since the store last answered; -1 if it never did.",
+            (),
+            one(store_age),
+        ),
+        Gauge("ready", "Whether callers are taken.", (), one(node.is_ready)),
+        Gauge("peers", "Other instances heard.", (), one(lambda: len(cluster.alive()))),
+        Gauge(
+            "duty", "Whether promotions are ordered here.", (), one(node.replacer.holds)
+        ),
+        Gauge("group_term", "Latest term known.", ("group",), terms),
+        Gauge(
+            "group_primary",
+            "1 for the database believed to lead.",
+            ("group", "database"),
+            primaries,
+        ),
+        Gauge("floor_age_seconds", "Age of the floor known.", ("group",), floor_ages),
+        Gauge("share", "Part of the rate refilled here.", ("workspace",), shares),
+        Gauge("queue", "Statements waiting for a slot.", ("database",), queues),
+        Gauge("connections", "Connections held.", ("database",), connections),
+    ]
--- a/dragonflywing/callers.py
+++ b/dragonflywing/callers.py
@@ -93,15 +93,19 @@
     async def execute(self, sql, attrs):
         started = self._now()
         self.busy = True
+        outcome = "error"
         try:
-            return await self._execute(sql, attrs, started)
+            result = await self._execute(sql, attrs, started)
+            outcome = "ok"
+            return result
         except DfwError:
             # An id is for one statement, whether that was served or refused.
             self.request_id = None
             raise
         finally:
             self.busy = False
-            self.entry.metrics.time("statement", self._now() - started)
+            spent_s = self._now() - started
+            self.entry.metrics.time("statement", spent_s, "any", outcome)
 
     # Checks
 
--- a/dragonflywing/entry.py
+++ b/dragonflywing/entry.py
@@ -261,10 +261,7 @@
                     for name in self.limiter.state.buckets
                 },
                 "counters": dict(self.metrics.counters),
-                "latency_ms": {
-                    name: [h.quantile(0.5) * 1000, h.quantile(0.99) * 1000]
-                    for name, h in self.metrics.histograms.items()
-                },
+                "mean_latency_ms": self.metrics.mean_s("statement") * 1000,
             }
         )
 
--- a/dragonflywing/homes.py
+++ b/dragonflywing/homes.py
@@ -160,6 +160,7 @@
 
     async def _take_slot(self, workspace, deadline, urgent):
         """Return when a slot is taken."""
+        asked_at = self._now()
         waiter = next(self._numbers)
         fut = asyncio.get_running_loop().create_future()
         self._waiters[waiter] = fut
@@ -180,6 +181,9 @@
             raise
         if not started:
             raise Refusal(outcomes.OVERLOADED, self._come_back("late"))
+        self.metrics.time(
+            "slot_wait", self._now() - asked_at, "yes" if urgent else "no"
+        )
 
     def _give_up(self, waiter, fut):
         self._waiters.pop(waiter, None)
@@ -379,21 +383,25 @@
         limit = deadline
         if req.kind == "read":
             limit = min(deadline, started_at + READ_ATTEMPT_S)
-        sent = False
+        sent, answer = False, None
         try:
             async with asyncio.timeout_at(limit):
                 await self._prepare_session(pooled, req)
-                refusal = await self._open_transaction(pooled, req, floor)
-                if refusal is not None:
+                answer = await self._open_transaction(pooled, req, floor)
+                if answer is not None:
                     self._give_back(pooled)
-                    return refusal, ""
+                    return answer, ""
                 sent = True
                 answer = await pooled.conn.run(req.statement_id, self._text(req, floor))
         except (ConnectionFailed, TimeoutError) as exc:
             self._discard(pooled)
-            return self._lost(req, sent, exc), ""
+            answer = self._lost(req, sent, exc)
+            return answer, ""
         finally:
             self._release_slot(started_at)
+            code = answer.code if answer else outcomes.ABORTED
+            spent_s = self._now() - started_at
+            self.metrics.time("database", spent_s, req.kind, code or "ok")
         return self._finish(pooled, req, answer, origin)
 
     def _text(self, req, floor):
--- a/dragonflywing/metrics.py
+++ b/dragonflywing/metrics.py
@@ -1,45 +1,70 @@
-"""Counters and latency histograms, reported to statsd once a second."""
+"""Counters, latency histograms and gauges: as text over HTTP, or to statsd."""
 
 import asyncio
-import bisect
 from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
 
 import statsd
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 FLUSH_INTERVAL_S = 1.0
-# Upper bounds of the latency histogram's cells, in seconds.
-BOUNDS_S = tuple(0.0001 * 1.5**i for i in range(32))
+PREFIX = "dragonflywing"
+# From a cached answer on the same machine to the longest deadline of a caller.
+BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
+# Each histogram's label names and what it measures. Labels take few values:
+# kinds of routes or statements, and codes of `outcomes`.
+HISTOGRAMS = {
+    "statement": (("route", "outcome"), "From a caller's statement to its answer."),
+    "slot_wait": (("urgent",), "Waiting for a slot of a database."),
+    "database": (("kind", "outcome"), "A statement's time at a database."),
+}
+# Times of one kind sent to statsd in one flush; it works out quantiles of these.
+TIMES_PER_FLUSH = 100
 
 
-class Histogram:
-    """Counts of latencies in cells of geometrically growing width."""
+class Gauge(NamedTuple):
+    """A belief of the process, read when the metrics are asked for.
 
-    def __init__(self):
-        self.cells = [0] * (len(BOUNDS_S) + 1)
-        self.count = 0
+    `read()` returns {values of the labels: number}.
+    """
 
-    def add(self, seconds):
-        """Count one latency."""
-        self.cells[bisect.bisect_left(BOUNDS_S, seconds)] += 1
-        self.count += 1
+    name: str
+    text: str
+    labels: tuple
+    read: Callable
 
-    def quantile(self, share):
-        """Return the upper bound in seconds of the cell that holds the quantile."""
-        wanted = share * self.count
-        seen = 0
-        for index, cell in enumerate(self.cells):
-            seen += cell
-            if cell and seen >= wanted:
-                return BOUNDS_S[min(index, len(BOUNDS_S) - 1)]
-        return 0.0
+
+def _family(gauge):
+    family = GaugeMetricFamily(
+        f"{PREFIX}_{gauge.name}", gauge.text, labels=gauge.labels
+    )
+    for values, number in gauge.read().items():
+        family.add_metric(values, number)
+    return family
 
 
 class Metrics:
-    """The counters and histograms of one process."""
+    """The counters, histograms and gauges of one process."""
 
     def __init__(self, cfg=None):
         self.counters = Counter()
-        self.histograms = {}
+        self.gauges = []
+        self.registry = CollectorRegistry()
+        self.registry.register(self)
+        self._histograms = {
+            name: Histogram(
+                f"{PREFIX}_{name}_seconds",
+                text,
+                labels,
+                registry=self.registry,
+                buckets=BUCKETS_S,
+            )
+            for name, (labels, text) in HISTOGRAMS.items()
+        }
+        self._children = {}
+        self._times = {}
         self._reported = Counter()
         self._client = None
         if cfg and cfg.host:
@@ -51,21 +76,40 @@
         """Add to a counter."""
         self.counters[name] += amount
 
-    def time(self, name, seconds):
-        """Add a latency to a histogram."""
-        if name not in self.histograms:
-            self.histograms[name] = Histogram()
-        self.histograms[name].add(seconds)
+    def time(self, name, seconds, *labels):
+        """Add a latency to one of `HISTOGRAMS`, with a value for each label."""
+        key = (name, *labels)
+        if key not in self._children:
+            self._children[key] = self._histograms[name].labels(*labels)
+        self._children[key].observe(seconds)
+        if self._client is not None:
+            times = self._times.setdefault(".".join(key), [])
+            if len(times) < TIMES_PER_FLUSH:
+                times.append(seconds)
+
+    def collect(self):
+        """Return the counters and gauges, for the registry."""
+        events = CounterMetricFamily(
+            f"{PREFIX}_events", "Events by name.", labels=["event"]
+        )
+        for name, value in sorted(self.counters.items()):
+            events.add_metric([name], value)
+        return [events, *map(_family, self.gauges)]
 
     def as_text(self):
-        """Return all counters and latency quantiles, a line each."""
-        lines = [f"{name} {value}" for name, value in sorted(self.counters.items())]
-        for name, histogram in sorted(self.histograms.items()):
-            lines.append(f"{name}.count {histogram.count}")
-            for share in (0.5, 0.99):
-                value = histogram.quantile(share) * 1000
-                lines.append(f"{name}.p{int(share * 100)}_ms {value:.3f}")
-        return "\n".join(lines) + "\n"
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self.registry).decode()
+
+    def mean_s(self, name):
+        """Return the mean of a histogram's latencies over all labels."""
+        samples = [
+            sample
+            for family in self._histograms[name].collect()
+            for sample in family.samples
+        ]
+        total = sum(x.value for x in samples if x.name.endswith("_sum"))
+        count = sum(x.value for x in samples if x.name.endswith("_count"))
+        return total / count if count else 0.0
 
     def flush(self):
         """Send what has changed since the last flush."""
@@ -75,9 +119,10 @@
             for name, value in self.counters.items():
                 if value != self._reported[name]:
                     pipe.incr(name, value - self._reported[name])
-            for name, histogram in self.histograms.items():
-                pipe.gauge(f"{name}.p50_ms", histogram.quantile(0.5) * 1000)
-                pipe.gauge(f"{name}.p99_ms", histogram.quantile(0.99) * 1000)
+            for name, times in self._times.items():
+                for seconds in times:
+                    pipe.timing(name, seconds * 1000)
+        self._times = {}
         self._reported = Counter(self.counters)
 
     async def report(self):
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -6,7 +6,7 @@
 import asyncio
 import signal
 
-from dragonflywing import logs, supervisor
+from dragonflywing import beliefs, logs, supervisor
 from dragonflywing.clock import elapsed
 from dragonflywing.cluster import MEMBER_PREFIX, OWN_PREFIX, Cluster, follow
 from dragonflywing.decisions import division
@@ -59,6 +59,7 @@
         self.cluster.more_partners = self._homes_of_groups
         self.replacer = Replacer(self)
         self.links = LinkServer(self._handle, self._link_closed, metrics)
+        metrics.gauges += beliefs.gauges(self)
         self.draining = asyncio.Event()
         self._is_started = False
         self._tasks = set()
--- a/dragonflywing/platform/callers.py
+++ b/dragonflywing/platform/callers.py
@@ -164,7 +164,10 @@
             return False
         reply = await work
         self.node.metrics.time(
-            f"statement.{reply.code or 'ok'}", self.node.now() - started_at
+            "statement",
+            self.node.now() - started_at,
+            self.session.freshness(),
+            reply.code or "ok",
         )
         self.writer.write(encode_reply(reply))
         self._answering = False
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from dragonflywing.clock import elapsed
 from dragonflywing.errors import HistoryLost, StoreError
 
 CALL_TIMEOUT_S = 1.0  # the store answers in 4 ms; a slow one in some 300 ms
@@ -32,6 +33,7 @@
     def __init__(self, url, metrics):
         self.url = url
         self.metrics = metrics
+        self.answered_at = None
         self._session = None
 
     async def open(self):
@@ -57,6 +59,7 @@
             raise StoreError(f"{path}: {type(exc).__name__}", True) from None
         if status in (429, 503):
             raise StoreError(f"{path}: status {status}", False)
+        self.answered_at = elapsed()
         try:
             return status, json.loads(data) if data else {}
         except ValueError:
--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -107,6 +107,12 @@
         """Return the caller's route."""
         return self.node.directory.cfg.routes[self.route_name]
 
+    def freshness(self):
+        """Return the kind of the caller's route, "none" if it is gone."""
+        cfg = self.node.directory.cfg
+        route = cfg.routes.get(self.route_name) if cfg else None
+        return route.freshness if route else "none"
+
     def _reply(self, code="", text="-", rows=(), position=None):
         return Reply(code, text, rows, self.state(), position)
 
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -8,6 +8,7 @@
 import sys
 import time
 
+import aiohttp
 from aiohttp import web
 
 from dragonflywing import explain
@@ -203,6 +204,12 @@
             return False
         return status == b"200"
 
+    async def metrics(self, name):
+        """Return the text on an instance's metrics address."""
+        url = f"http://127.0.0.1:{self._ports[name][3]}/metrics"
+        async with aiohttp.ClientSession() as session, session.get(url) as resp:
+            return await resp.text()
+
     async def wait_ready(self, name):
         """Return once an instance is ready."""
         end = time.monotonic() + START_TIMEOUT_S
--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -4,6 +4,7 @@
 import re
 import signal
 
+from dragonflywing.decisions import relays
 from test.helper import run
 from test.platform.deployment import PLACES, deployed
 
@@ -279,3 +280,72 @@
             assert await asyncio.wait_for(site.processes["front-0"].wait(), 6) == 0
             other = await site.connect("front-1", "orders")
             assert (await other.query("READ b"))[1][0].endswith(":2")
+
+
+class TestRelays:
+    """A fleet in which relays pass on what instances know of one another."""
+
+    SIZE = relays.DIRECT_SIZE + 2
+
+    def test_serves_as_a_small_one_does(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path, self.SIZE) as site:
+            writer = await site.connect("front-3", "orders")
+            reader = await site.connect("front-16", "orders")
+            for number in range(10):
+                assert (await writer.query(f"WRITE a {number}"))[0] == ""
+                code, rows, _ = await reader.query("READ a")
+                assert code == "" and rows[0].endswith(f":{number}")
+            aged = await site.connect("front-14", "marks")
+            assert (await aged.query("READ a"))[0] == ""
+            site.keys["press"] = ["key-new"]
+            site.configure()
+            await asyncio.sleep(3)
+            for number in range(self.SIZE):
+                name = f"front-{number}"
+                assert await site.connect(name, "orders") == "NOAUTH"
+            await self._check_rate(site)
+
+    async def _check_rate(self, site):
+        """Ask ten times the rate of a workspace at six instances."""
+        callers = [
+            await site.connect(f"front-{number}", "marks", "key-harbor")
+            for number in range(3, 15, 2)
+        ]
+        loop = asyncio.get_running_loop()
+        end = loop.time() + 5
+
+        async def press(caller):
+            while loop.time() < end:
+                await caller.query("READ a")
+                await asyncio.sleep(0.03)
+
+        before = len(site.group.ran)
+        await asyncio.gather(*[press(caller) for caller in callers])
+        ran = len(site.group.ran) - before
+        assert 60 <= ran <= (5 * 20 + 20) * 1.1 + 20
+
+
+class TestMetrics:
+    def test_tell_what_an_instance_believes_and_how_long_things_took(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path, 2) as site:
+            caller = await site.connect("front-0", "orders")
+            await caller.query("WRITE a 1")
+            assert await site.connect("front-0", "nowhere") == "NODB"
+            text = await site.metrics("front-0")
+            for wanted in (
+                'dragonflywing_events_total{event="refused.startup.no_route"} 1.0',
+                'statement_seconds_count{outcome="ok",route="current"} 1.0',
+                "dragonflywing_config_version 1.0",
+                'dragonflywing_group_primary{database="db-0",group="orders-db"} 1.0',
+                'dragonflywing_share{workspace="press"}',
+            ):
+                assert wanted in text
+            homes = text + await site.metrics("front-1")
+            assert 'database_seconds_count{kind="write",outcome="ok"} 1.0' in homes
+            assert 'slot_wait_seconds_count{urgent="no"}' in homes
