--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store and of its order for promotions."""
 
 import base64
+import contextlib
 import json
 from typing import NamedTuple
 
@@ -21,6 +22,15 @@
     revision: int
 
 
+@contextlib.contextmanager
+def _readable(call):
+    """Turn an answer whose fields are missing or odd into a failed call."""
+    try:
+        yield
+    except (LookupError, TypeError, ValueError, AttributeError) as exc:
+        raise StoreError(f"{call}: answer can't be read: {exc!r}", True) from None
+
+
 def _item(document):
     value = document.get("value")
     data = None if document.get("tombstone") else base64.b64decode(value or "")
@@ -60,15 +70,14 @@
         if status in (429, 503):
             raise StoreError(f"{path}: status {status}", False)
         self.answered_at = elapsed()
-        try:
+        with _readable(path):
             return status, json.loads(data) if data else {}
-        except ValueError:
-            raise StoreError(f"{path}: answer can't be read", True) from None
 
     async def get(self, key):
         """Return a key's Item (None if absent) and the store's revision."""
         status, body = await self._call("GET", "/-/kv-key", key=key)
-        return (_item(body) if status == 200 else None), body.get("current_rev", 0)
+        with _readable("key"):
+            return (_item(body) if status == 200 else None), body.get("current_rev", 0)
 
     async def get_prefix(self, prefix):
         """Return all Items under a prefix and the revision to watch from."""
@@ -80,12 +89,13 @@
             status, body = await self._call("GET", "/-/kv-range", **query)
             if status != 200:
                 raise StoreError(f"range {prefix}: status {status}", False)
-            items += [_item(document) for document in body["items"]]
-            # Pages are no snapshot: changes since the first one are watched.
-            revision = body["current_rev"] if revision is None else revision
-            if not body.get("has_more"):
-                return items, revision
-            after = items[-1].key
+            with _readable(f"range {prefix}"):
+                items += [_item(document) for document in body["items"]]
+                # Pages are no snapshot: changes since the first one are watched.
+                revision = body["current_rev"] if revision is None else revision
+                if not body.get("has_more"):
+                    return items, revision
+                after = items[-1].key
 
     async def watch(self, prefix, after, wait_s):
         """Return the changes after a revision, once there are any, and the next."""
@@ -101,7 +111,8 @@
             raise HistoryLost(prefix)
         if status != 200:
             raise StoreError(f"watch {prefix}: status {status}", False)
-        return [_item(event) for event in body["events"]], body["current_rev"]
+        with _readable(f"watch {prefix}"):
+            return [_item(event) for event in body["events"]], body["current_rev"]
 
     async def swap(self, key, value, revision, lease=0):
         """Write a key if its revision is as given; return the new one or None."""
@@ -111,7 +122,8 @@
         status, answer = await self._call("POST", "/-/kv-txn", body)
         if status not in (200, 412, 404):
             raise StoreError(f"txn: status {status}", False)
-        return answer["revision"] if status == 200 else None
+        with _readable("txn"):
+            return answer["revision"] if status == 200 else None
 
     async def grant_lease(self, seconds):
         """Return a new lease."""
@@ -120,7 +132,8 @@
         )
         if status != 200:
             raise StoreError(f"lease: status {status}", False)
-        return body["lease"]
+        with _readable("lease"):
+            return body["lease"]
 
     async def keep_lease(self, lease):
         """Renew a lease; return False if it has ended."""
--- /dev/null
+++ b/test/platform/test_store.py
@@ -0,0 +1,58 @@
+"""The client of the platform's store, against answers that are cut or odd."""
+
+import asyncio
+
+import pytest
+
+from dragonflywing.errors import StoreError
+from dragonflywing.metrics import Metrics
+from dragonflywing.platform.store import PlatformStore
+from test.helper import run
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+CALLS = {
+    "get": lambda store: store.get("key"),
+    "get_prefix": lambda store: store.get_prefix("prefix"),
+    "watch": lambda store: store.watch("prefix", 1, 0.2),
+    "swap": lambda store: store.swap("key", b"value", 1),
+    "grant_lease": lambda store: store.grant_lease(3.0),
+}
+
+
+async def ask(call, data):
+    """Make a call to a store that answers with `data` and closes."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    store = PlatformStore(f"http://127.0.0.1:{port}", Metrics())
+    await store.open()
+    try:
+        await CALLS[call](store)
+    finally:
+        await store.close()
+        server.close()
+
+
+class TestOddAnswers:
+    @pytest.mark.parametrize("call", CALLS)
+    @pytest.mark.parametrize(
+        "data",
+        [
+            pytest.param(HEAD + b'90\r\n\r\n{"items": [{"key"', id="cut in the body"),
+            pytest.param(HEAD[:20], id="cut in the head"),
+            pytest.param(b"", id="closed"),
+            pytest.param(HEAD + b"2\r\n\r\n[]", id="a list"),
+            pytest.param(HEAD + b"2\r\n\r\n{}", id="fields missing"),
+            pytest.param(HEAD + b"4\r\n\r\n\xff\xfe\x00\x01", id="no text"),
+        ],
+    )
+    def test_end_as_a_failed_call(self, call, data):
+        with pytest.raises(StoreError) as caught:
+            run(ask(call, data))
+        assert caught.value.may_have_run
