--- a/dragonflywing/router.py
+++ b/dragonflywing/router.py
@@ -156,6 +156,10 @@
             body = await self.cluster.call(instance, "run", pack(req), timeout_s)
         except LinkLost as exc:
             self.metrics.count("link.run_failed")
+            if not exc.was_reset:
+                # The next statement goes to another instance, without waiting for
+                # exchanges to tell that this one stands still.
+                self._note_unreachable(instance, req.database)
             logs.event(
                 "home_lost",
                 request=req.statement_id,
