--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -22,7 +22,7 @@
 
 # In a great fleet, registrations of instances that start together come with few
 # calls; in a small one the calls cost less than the delay.
-GATHER_S = 0.2
+GATHER_S = 0.8
 TICK_S = 0.1  # between looks at queues, demand and idle connections
 FENCE_PERIOD_S = 0.45  # a floor stays far younger than the ages of the routes
 # After SIGTERM: the balancer needs two missed probes, one a second.
