--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -268,7 +268,7 @@
         now = self._now()
         for name in scope - set(silent):
             self.heard_at[name] = now
-        for name in scope & set(silent) - self._asked:
+        for name in (scope & set(silent)) - self._asked:
             self.heard_at[name] = now - RELAYED_SUSPECT_S
         self.leaving_peers |= scope & set(leaving)
 
--- a/dragonflywing/links.py
+++ b/dragonflywing/links.py
@@ -26,16 +26,11 @@
 
 
 class LinkLost(Exception):
-    """The other instance did not answer.
+    """The other instance did not answer; `sent` tells whether the call may have run."""
 
-    `sent` tells whether the call may have run, `was_reset` whether the connection
-    ended, after which a new one may well serve.
-    """
-
-    def __init__(self, message, sent=False, was_reset=False):
+    def __init__(self, message, sent=False):
         super().__init__(message)
         self.sent = sent
-        self.was_reset = was_reset
 
 
 def pack(message):
@@ -123,8 +118,7 @@
             waiting, self._waiting = self._waiting, {}
             for fut in waiting.values():
                 if not fut.done():
-                    exc = LinkLost(f"{self.host}: connection lost", True, True)
-                    fut.set_exception(exc)
+                    fut.set_exception(LinkLost(f"{self.host}: connection lost", True))
 
     async def call(self, name, body, timeout_s):
         """Send a call and return the answer's bytes, or raise LinkLost."""
--- a/dragonflywing/router.py
+++ b/dragonflywing/router.py
@@ -16,8 +16,6 @@
 UNREACHABLE_S = 1.5
 COMMAND_TIMEOUT_S = 0.5  # a home's own limit and a round trip
 READ_REMOTE_S = 0.7  # longer than a home lets a read take, with its queue
-# A home that did not answer and missed an exchange, two a second, stands still.
-STILL_S = 0.65
 LINK_MARGIN_S = 0.15  # a round trip between the farthest data centres
 BEHIND_S = 0.3  # a replica that was behind is left out for this time
 LOAD_KEPT_S = 0.5  # a load told with an answer counts for this time
@@ -158,8 +156,6 @@
             body = await self.cluster.call(instance, "run", pack(req), timeout_s)
         except LinkLost as exc:
             self.metrics.count("link.run_failed")
-            if self._stands_still(instance, exc):
-                self._note_unreachable(instance, req.database)
             logs.event(
                 "home_lost",
                 request=req.statement_id,
@@ -178,16 +174,6 @@
         )
         return answer, found.transaction, instance
 
-    def _stands_still(self, instance, exc):
-        """Return whether a lost home should be left out before exchanges fail.
-
-        One that is heard has a long queue or a slow database, which another
-        instance would only load more.
-        """
-        if not exc.sent:
-            return True
-        return not exc.was_reset and self.cluster.silent_s(instance) > STILL_S
-
     def end_transaction(self, database, home, handle):
         """Roll back an open transaction at its home."""
         if home == self.own.instance:
