Prove the loss of a relay with real processes, and why relays grant operations

TestLostRelay failed twice by faults of the test itself: a signal to an ended process, and a relay sought in a log line that tells the role at the start only.

--- a/test/decisions/test_division.py
+++ b/test/decisions/test_division.py
@@ -269,6 +269,27 @@
         assert {before[name] - fleet.whole(name) for name in before} == {9.0}
 
 
+INSIDE_THE_RATE = 0.99  # what workspaces inside their rate are to keep
+
+
+class TestManyInstances:
+    """A workspace inside its rate whose operations reach 90 instances."""
+
+    def _part(self, grantors):
+        """Return the part admitted when so many instances divide the rate."""
+        rng = random.Random(7)
+        fleet = Fleet(grantors)
+        names = list(fleet.states)
+        play(fleet, names, 0.6 * RATE, 4, rng)
+        return play(fleet, names, 0.6 * RATE, 8, rng)
+
+    def test_relays_of_six_data_centres_serve_it(self):
+        assert self._part(6) >= INSIDE_THE_RATE
+
+    def test_parts_for_each_instance_would_refuse_it(self):
+        assert self._part(90) < INSIDE_THE_RATE
+
+
 class TestLateMessages:
     def test_counts_that_lay_unread_change_nothing(self):
         state = division.DivisionState()
--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -4,7 +4,9 @@
 import re
 import signal
 
-from dragonflywing.decisions import relays
+import pytest
+
+from dragonflywing.decisions import membership, relays
 from test.helper import run
 from test.platform.deployment import PLACES, deployed
 
@@ -328,6 +330,41 @@
         assert 60 <= ran <= (5 * 20 + 20) * 1.1 + 20
 
 
+class TestLostRelay:
+    """Callers in a data centre whose relay is killed or stands still."""
+
+    @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+    def test_is_replaced(self, tmp_path, number):
+        run(self._check(tmp_path, number))
+
+    async def _check(self, tmp_path, number):
+        async with deployed(tmp_path, TestRelays.SIZE) as site:
+            place = [f"front-{n}" for n in range(0, TestRelays.SIZE, len(PLACES))]
+            await asyncio.sleep(1)
+            relay = membership.order("relay", place)[0]
+            others = [name for name in place if name != relay]
+            callers = [await site.connect(name, "marks") for name in others]
+            loop = asyncio.get_running_loop()
+            codes = []
+
+            async def read(caller, end):
+                while loop.time() < end:
+                    asked_at = loop.time()
+                    code, _, _ = await caller.query("READ a")
+                    codes.append((asked_at, code))
+                    await asyncio.sleep(0.05)
+
+            lost_at = loop.time() + 1
+            loop.call_at(lost_at, site.processes[relay].send_signal, number)
+            end = lost_at + 8
+            await asyncio.gather(*[read(caller, end) for caller in callers])
+            before = [code for at, code in codes if at < lost_at]
+            # 1.3 s until the relay counts as silent, then some exchanges.
+            after = [code for at, code in codes if at > lost_at + 3]
+            assert set(before) == set(after) == {""}
+            assert len(after) > 0.5 * 5 * len(callers) / 0.05
+
+
 class TestMetrics:
     def test_tell_what_an_instance_believes_and_how_long_things_took(self, tmp_path):
         run(self._check(tmp_path))
