Let a group whose roster names databases that are gone have a primary again

Cause, as far as it can be told: by reading. Change: a database outside the roster counts only while a primary is listed; a promotion writes the roster of those that it held; a change of the roster is confirmed by one more than acknowledge a write where all listed answer.

--- a/dragonflywing/decisions/rosters.py
+++ b/dragonflywing/decisions/rosters.py
@@ -15,6 +15,17 @@
         self.wanted = {}
 
 
+def votes_needed(quorum, listed, answered, sync_replicas):
+    """Return how many votes confirm a primary for a change of the roster.
+
+    When several databases left at once, too few are left for a quorum of the
+    roster. If all that are listed answer, one more than acknowledge a write are
+    enough: whoever was promoted meanwhile was held by a quorum, of which one
+    would tell of the later term.
+    """
+    return min(quorum, sync_replicas + 1) if answered == listed else quorum
+
+
 def review(state, recorded, listed, leader, received, sync_replicas):
     """Return the names that the roster should hold.
 
@@ -26,7 +37,9 @@
     for name in state.wanted.keys() - unlisted:
         del state.wanted[name]
     if leader is None:
-        return recorded | listed
+        # One that comes while nobody leads has acknowledged nothing, and may not
+        # be able to answer: counted, it could keep the group without a primary.
+        return recorded
     for name in unlisted:
         state.wanted.setdefault(name, received[leader])
     return listed | {
--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -152,9 +152,14 @@
             n for n, (_, at) in self.vanished.items() if now - at > VANISHED_S
         ]:
             del self.vanished[name]
-        names = {item.name for item in self.members(group)}
-        names.update(x.name for x, _ in self.vanished.values() if x.group == group)
-        return names | self.rosters.get(group, {}).keys()
+        names = {x.name for x, _ in self.vanished.values() if x.group == group}
+        names |= self.rosters.get(group, {}).keys()
+        members = self.members(group)
+        if not names or any(item.is_primary for item in members):
+            names.update(item.name for item in members)
+        # Without a primary a database that is not in the roster came too late to
+        # acknowledge anything.
+        return names
 
     def sync_replicas(self, group):
         """Return how many replicas hold a write when it is acknowledged."""
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -224,15 +224,26 @@
         recorded = self.groups.rosters.get(group, {})
         counted = {n: s for n, s in reachable.items() if n not in self.groups.reborn}
         votes = [as_vote(name, status) for name, status in counted.items()]
-        leader = confirmed_primary(votes, len(listed), self.groups.quorum(group))
+        sync_replicas = self.groups.sync_replicas(group)
+        needed = rosters.votes_needed(
+            self.groups.quorum(group), listed, set(counted), sync_replicas
+        )
+        leader = confirmed_primary(votes, len(listed), needed)
+        if leader is not None and leader.term < self.groups.state(group).term:
+            leader = None
         names = rosters.review(
             self._rosters.setdefault(group, rosters.RosterState()),
             set(recorded),
             listed,
             leader.database if leader else None,
             {name: status.received for name, status in counted.items()},
-            self.groups.sync_replicas(group),
+            sync_replicas,
         )
+        await self._write_roster(group, names)
+
+    async def _write_roster(self, group, names):
+        """Keep the roster of these names in the store if it differs."""
+        recorded = self.groups.rosters.get(group, {})
         starts = {name: self._trusted_start(name, recorded) for name in sorted(names)}
         if starts == recorded or not self.holds():
             return
@@ -260,7 +271,7 @@
 
     async def _replace(self, group, reason):
         members = self.groups.members(group)
-        quorum = self.groups.quorum(group)
+        counted, quorum = self.groups.quorum_names(group), self.groups.quorum(group)
         found = await self._statuses(members)
         terms = [max(s.term, s.promised_term) for s in found.values()]
         term = max([self.groups.state(group).term, *terms]) + 1
@@ -279,16 +290,20 @@
             logs.event("replacement_not_needed", group=group)
             self._health[group].seen_at = elapsed()
             return
-        if len(found) < quorum or not self._has_candidate(found):
+        if len(found.keys() & counted) < quorum or not self._has_candidate(found):
             logs.event("replacement_refused", group=group, reached=len(found))
             self.metrics.count("replacement.refused")
             return
         held = await self._hold(members, found, term)
-        chosen = replacement.choose(held, quorum)
+        able = [item for item in held if item.database in counted]
+        chosen = replacement.choose(able, quorum)
         if chosen is None or not await self._promote(group, chosen, term):
             await self._release(held)
             return
         self._health.pop(group, None)
+        # What leads now holds every acknowledged write; who is gone is not needed.
+        listed = {item.name for item in self.groups.members(group)}
+        await self._write_roster(group, listed | {item.database for item in held})
 
     def _has_candidate(self, found):
         return any(
