--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -7,6 +7,7 @@
 import pytest
 
 from dragonflywing.decisions import membership, relays
+from dragonflywing.standin.platform_database import StandinDatabase
 from test.helper import run
 from test.platform.deployment import PLACES, deployed
 
@@ -146,6 +147,62 @@
             assert databases["db-2"].is_primary
 
 
+class TestNewDatabaseWithoutPrimary:
+    def test_does_not_keep_the_others_from_a_promotion(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        """Lose the primary for good; a new database is listed that can't answer."""
+        async with deployed(tmp_path) as site:
+            databases = site.group.databases
+            caller = await site.connect("front-0", "orders")
+            assert (await caller.query("WRITE a 1"))[0] == ""
+            await asyncio.sleep(2)
+            for name in list(site.processes):
+                await site.kill(name)
+            databases["db-0"].crash()
+            site.state.delete("servers/db-0")
+            new = StandinDatabase(site.group, "db-new")
+            await new.start()
+            new.crash()
+            site.announce(new, PLACES[0])
+            for number, place in enumerate(PLACES):
+                await site.start_instance(f"front-{number}", place)
+            await asyncio.gather(*[site.wait_ready(name) for name in site.processes])
+            end = asyncio.get_running_loop().time() + 12
+            code = "BUSY"
+            while code and asyncio.get_running_loop().time() < end:
+                caller = await site.connect("front-1", "orders")
+                code, rows, _ = await caller.query("READ a")
+                await asyncio.sleep(0.1)
+            assert code == "" and rows[0].endswith(":1")
+            assert (await caller.query("WRITE a 2"))[0] == ""
+
+
+class TestReplacedAtOnce:
+    def test_two_databases_that_leave_together_are_not_waited_for(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path) as site:
+            databases = site.group.databases
+            for number in (1, 2):
+                new = StandinDatabase(site.group, f"db-new-{number}")
+                await new.start()
+                site.announce(new, PLACES[number])
+            caller = await site.connect("front-0", "orders")
+            assert (await caller.query("WRITE a 1"))[0] == ""
+            await asyncio.sleep(2)
+            for name in ("db-1", "db-2"):
+                databases[name].crash()
+                site.state.delete(f"servers/{name}")
+            # Longer than a database that vanished counts without the roster.
+            await asyncio.sleep(8)
+            code, rows, _ = await caller.query("READ a")
+            assert code == "" and rows[0].endswith(":1")
+            assert (await caller.query("WRITE a 2"))[0] == ""
+
+
 class TestKeys:
     def test_withdrawn_key_stops_and_given_key_works(self, tmp_path):
         run(self._check(tmp_path))
