Start kept tasks through one function; drop state that nothing reads

Read of the whole change: the lines that start a task and keep it until it ends stood eight times (homes, node, groups, router, group, fleet, limiter, promoter); supervisor.spawn serves all. Dropped: an event of a group's primary that nobody waited for, a constant, a result that nobody used, times of answers of which only the names were read. The exchange's partners are chosen in one place for all roles. In great fleets an operation looked for its relay twice. Tests: starting, killing and pressing instances stand once, in the deployment. No behaviour, check or bound changed.

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -54,7 +54,7 @@
         self.heard_at = {}
         self.leaving_peers = set()
         self.leaving = False
-        self.exchanged_at = {}
+        self.answered = set()  # those that answered since they registered
         self._asked = set()  # the partners of the latest round
         self._member_came = asyncio.Event()
         self._told_at = {}  # when each instance last asked this one
@@ -114,7 +114,7 @@
                 self._orders.clear()
                 self._close_link(instance)
                 self.leaving_peers.discard(instance)
-                self.exchanged_at.pop(instance, None)
+                self.answered.discard(instance)
                 logs.event("member_gone", instance=instance)
             return
         try:
@@ -135,7 +135,7 @@
             self._orders.clear()
             self._close_link(instance)
             self.leaving_peers.discard(instance)
-            self.exchanged_at.pop(instance, None)
+            self.answered.discard(instance)
             self.heard_at[instance] = self._now()
             self._member_came.set()
             logs.event("member", instance=instance, data_centre=peer.data_centre)
@@ -228,19 +228,14 @@
 
     def role(self):
         """Return this instance's relays.Role."""
-        if self.is_small():
-            return relays.Role.DIRECT
-        own_relay = self.relay(self.cfg.data_centre)
+        own_relay = None if self.is_small() else self.relay(self.cfg.data_centre)
         return relays.role(self.cfg.instance, len(self.peers) + 1, own_relay)
 
     def partners(self):
         """Return the instances that this one asks."""
         registered = {p.instance: p.data_centre for p in self.peers.values()}
-        role = self.role()
-        if role is relays.Role.DIRECT:
-            return set(registered)
         place = self.cfg.data_centre
-        found = relays.partners(role, place, registered, self.relays())
+        found = relays.partners(self.role(), place, registered, self.relays())
         return (found | self.more_partners()) & registered.keys()
 
     def confirm_rank(self):
@@ -291,12 +286,12 @@
             for instance in partners:
                 task = running.get(instance)
                 recent = now - begun.get(instance, 0.0) < 0.7 * EXCHANGE_S
-                if recent and instance in self.exchanged_at:
+                if recent and instance in self.answered:
                     continue
                 if task is None or task.done():
                     begun[instance] = now
                     running[instance] = asyncio.create_task(self._exchange(instance))
-            unheard = partners - self.exchanged_at.keys()
+            unheard = partners - self.answered
             pause = UNHEARD_S if unheard else EXCHANGE_S
             await self._wait_member(pause * random.uniform(0.8, 1.2))
 
@@ -321,7 +316,7 @@
                 self._close_link(instance)
             return
         self.note_heard(instance)
-        self.exchanged_at[instance] = self._now()
+        self.answered.add(instance)
         await self.take_exchange(instance, question, answer, asked_at)
 
     def close(self):
--- a/dragonflywing/exchange.py
+++ b/dragonflywing/exchange.py
@@ -86,8 +86,7 @@
         self.cluster.note_question(name)
         for view in message.groups:
             self._take_primary(view)
-        is_unit = name in self._units()
-        if is_unit:
+        if name in self._units():
             division.hear(
                 self.rates,
                 elapsed(),
@@ -195,15 +194,14 @@
         return len(self.cluster.peers) + 1
 
     def review_units(self):
-        """Keep to the instances that run; return whether all of them were heard."""
+        """Keep to the instances that run, and note whether all of them were heard."""
         role, units = self.cluster.role(), self._units()
         is_complete = self._is_complete(units)
         if role is not self._role and self._role is not None and not is_complete:
             # What was told in the former role holds until all is told anew.
-            return self.rates.heard_all
+            return
         if is_complete and not self.rates.heard_all:
             logs.event("all_heard", role=role.value, units=len(units))
         self._role = role
         division.keep_only(self.rates, units, self._grantors(role))
         division.note_heard(self.rates, is_complete)
-        return is_complete
--- a/dragonflywing/fleet.py
+++ b/dragonflywing/fleet.py
@@ -8,6 +8,7 @@
 from dragonflywing.decisions.membership import Member
 from dragonflywing.errors import UserError
 from dragonflywing.peers import PeerClient, idl
+from dragonflywing.supervisor import spawn
 
 # Peers told at once of a new configuration.
 PUSH_FANOUT = 4
@@ -85,12 +86,6 @@
             )
         return self._clients[address]
 
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     # Exchange of digests
 
     def digest(self):
@@ -115,7 +110,7 @@
         sender = members[0]
         mine = versions.version(self.versions)
         if digest.config_version > mine:
-            self._spawn(self._fetch(sender.address, sender.instance))
+            spawn(self._tasks, self._fetch(sender.address, sender.instance))
         else:
             versions.confirm(
                 self.versions, now, digest.config_version, digest.config_age
@@ -161,7 +156,7 @@
         self.on_configuration(cfg)
         alive = self.alive()
         for member in random.sample(alive, min(len(alive), PUSH_FANOUT)):
-            self._spawn(self._exchange_with(member.address, member.instance))
+            spawn(self._tasks, self._exchange_with(member.address, member.instance))
 
     async def _exchange_with(self, address, instance=None):
         answer = await self._client(address, instance).call("exchange", self.digest())
@@ -192,7 +187,7 @@
                 self.members, self._now(), self.cfg.times.member_timeout_s
             )
             for address, instance in self._targets(turn):
-                self._spawn(self._exchange_with(address, instance))
+                spawn(self._tasks, self._exchange_with(address, instance))
             await asyncio.sleep(self.cfg.times.gossip_s * random.uniform(0.7, 1.3))
 
     # Votes and loans
--- a/dragonflywing/group.py
+++ b/dragonflywing/group.py
@@ -11,7 +11,7 @@
 from dragonflywing.decisions.positions import Status
 from dragonflywing.errors import DfwError, Verdict
 from dragonflywing.promoter import Promoter
-from dragonflywing.supervisor import supervise
+from dragonflywing.supervisor import spawn, supervise
 
 # How long a replica may hold back the answer to a position query.
 WAIT_SLICE_MS = 15
@@ -61,12 +61,6 @@
     def _now(self):
         return asyncio.get_running_loop().time()
 
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     # Statuses
 
     def note_status(self, status):
@@ -146,7 +140,7 @@
     def _act_fence(self, messages):
         for message in messages:
             if isinstance(message, fences.Query):
-                self._spawn(self._query_fence(message))
+                spawn(self._tasks, self._query_fence(message))
             else:
                 if isinstance(message, fences.Granted):
                     self.ages.add(message.asked_at, message.position)
--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -10,6 +10,7 @@
     write_quorum_complement,
 )
 from dragonflywing.homes import Home
+from dragonflywing.supervisor import spawn
 
 # How long a database that is no longer listed still counts as able to
 # acknowledge writes: three missed reports and the store's delay.
@@ -39,7 +40,6 @@
         self.primary = None
         self.term = 0
         self.floor = None
-        self.primary_seen = asyncio.Event()
         self.fences = None
 
 
@@ -106,7 +106,6 @@
         state = self.state(database.group)
         if database.is_primary and state.primary is None:
             state.primary = database.name
-            state.primary_seen.set()
 
     def remove_database(self, name):
         """Note that a database is no longer listed."""
@@ -209,8 +208,6 @@
         logs.event("primary", group=group, database=name, term=term, was=state.primary)
         state.primary = name
         state.term = term
-        state.primary_seen.set()
-        state.primary_seen = asyncio.Event()
 
     def note_floor(self, group, floor):
         """Take a floor that this or another instance has found."""
@@ -252,9 +249,7 @@
     def _act(self, state, messages):
         for message in messages:
             if isinstance(message, fences.Query):
-                task = asyncio.create_task(self._query(state, message))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                spawn(self._tasks, self._query(state, message))
                 continue
             fut = self._waiters.get(message.waiter)
             granted = isinstance(message, fences.Granted)
--- a/dragonflywing/homes.py
+++ b/dragonflywing/homes.py
@@ -12,6 +12,7 @@
 from dragonflywing import logs, outcomes
 from dragonflywing.decisions import admission
 from dragonflywing.ports import Answer, ConnectionFailed, ConnectionRefused
+from dragonflywing.supervisor import spawn
 
 # Part of a database's connections for its first home; the rest is for control
 # and for other instances while they can't reach that home.
@@ -43,7 +44,6 @@
 READ_ATTEMPT_S = 0.3
 RETRY_CONNECT_S = 0.05
 IDLE_CLOSE_S = 20.0  # connections that no statement used for so long
-SWEEP_S = 0.5
 CONTROL_WORKSPACE = "dragonflywing"
 
 
@@ -138,12 +138,6 @@
     def _now(self):
         return asyncio.get_running_loop().time()
 
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     def wait_s(self):
         """Return the expected wait for a slot."""
         return admission.expected_wait(self.admission)
@@ -383,7 +377,7 @@
         except BaseException:
             self._give_back(pooled)
             raise
-        work = self._spawn(self._execute(pooled, req, floor, deadline, origin))
+        work = spawn(self._tasks, self._execute(pooled, req, floor, deadline, origin))
         return await self._finish_work(work)
 
     async def _run_inside(self, req, deadline):
@@ -393,10 +387,10 @@
         try:
             await self._take_slot(req.workspace, deadline, True)
         except BaseException:
-            self._spawn(self._roll_back(found.pooled))
+            spawn(self._tasks, self._roll_back(found.pooled))
             raise
-        work = self._spawn(
-            self._execute(found.pooled, req, None, deadline, found.origin)
+        work = spawn(
+            self._tasks, self._execute(found.pooled, req, None, deadline, found.origin)
         )
         return await self._finish_work(work)
 
@@ -484,7 +478,7 @@
             self._give_back(pooled)
             return answer, ""
         if answer.code and answer.in_transaction:
-            self._spawn(self._roll_back(pooled))
+            spawn(self._tasks, self._roll_back(pooled))
             return answer, ""
         if not answer.in_transaction:
             self._give_back(pooled)
@@ -510,7 +504,7 @@
         """Roll back an open transaction."""
         found = self.transactions.pop(handle, None)
         if found is not None:
-            self._spawn(self._roll_back(found.pooled))
+            spawn(self._tasks, self._roll_back(found.pooled))
 
     def end_all_of(self, origin):
         """Roll back the transactions of an instance whose connection has ended."""
--- a/dragonflywing/limiter.py
+++ b/dragonflywing/limiter.py
@@ -8,6 +8,7 @@
 from dragonflywing import errors
 from dragonflywing.decisions import shares
 from dragonflywing.errors import DfwError
+from dragonflywing.supervisor import spawn
 
 TICK_S = 0.01
 LOAN_PERIOD_S = 0.05
@@ -90,11 +91,6 @@
                 shares.measure_demand(self.state, now)
                 self._move_shares(now)
 
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _move_shares(self, now):
         for workspace in self.state.active:
             waiting = len(self._queues.get(workspace, ()))
@@ -102,7 +98,7 @@
         for message in shares.loans_to_return(self.state, now):
             self.metrics.count("shares.returned")
             lender = message.loan_id.split("/")[0]
-            self._spawn(self.fleet.give_back(lender, message))
+            spawn(self._tasks, self.fleet.give_back(lender, message))
         for request in shares.loans_to_extend(self.state, now):
             lender = request.loan_id.split("/")[0]
             self._ask(lender, request)
@@ -120,7 +116,7 @@
         if key in self._asking:
             return
         self._asking.add(key)
-        self._spawn(self._borrow(lender, request, key))
+        spawn(self._tasks, self._borrow(lender, request, key))
 
     async def _borrow(self, lender, request, key):
         asked_at = self._now()
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -10,7 +10,6 @@
 from dragonflywing.clock import elapsed
 from dragonflywing.cluster import MEMBER_PREFIX, OWN_PREFIX, Cluster, follow
 from dragonflywing.decisions import division
-from dragonflywing.decisions.relays import Role
 from dragonflywing.directory import Directory
 from dragonflywing.errors import UserError
 from dragonflywing.exchange import Exchange
@@ -68,11 +67,6 @@
         """Return the loop's time."""
         return asyncio.get_running_loop().time()
 
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _configure(self, cfg):
         limits = {w.name: (w.rate, w.burst) for w in cfg.workspaces.values()}
         division.configure(self.division, elapsed(), limits)
@@ -134,19 +128,20 @@
 
         Waits for the operation's turn if that comes within `patience_s`.
         """
-        if self.cluster.role() is Role.MEMBER:
-            wait_s = await self._admit_at_relay(workspace, patience_s)
-            if wait_s is not None:
-                return wait_s
+        if not self.cluster.is_small():
+            relay = self.cluster.relay(self.cfg_own.data_centre)
+            if relay != self.cfg_own.instance:
+                wait_s = await self._admit_at(relay, workspace, patience_s)
+                if wait_s is not None:
+                    return wait_s
         return await self._admit_here(workspace, patience_s)
 
-    async def _admit_at_relay(self, workspace, patience_s):
+    async def _admit_at(self, relay, workspace, patience_s):
         """Take an operation from the data centre's part; None if that failed.
 
         In a great fleet a workspace sends each instance an operation now and
         then; parts of the rate for each instance would refuse most of them.
         """
-        relay = self.cluster.relay(self.cfg_own.data_centre)
         body = f"{patience_s:.3f} {workspace}".encode()
         try:
             answer = await self.cluster.call(
@@ -224,7 +219,7 @@
             if database is None:
                 continue
             if self.router.homes(database)[0] == self.cfg_own.instance:
-                self._spawn(self.groups.fence(state.name))
+                supervisor.spawn(self._tasks, self.groups.fence(state.name))
 
     async def wait_started(self):
         """Wait for a short while after the start until callers can be served."""
--- a/dragonflywing/promoter.py
+++ b/dragonflywing/promoter.py
@@ -9,6 +9,7 @@
 from dragonflywing.decisions.positions import majority
 from dragonflywing.errors import StoreError
 from dragonflywing.store import settle
+from dragonflywing.supervisor import spawn
 
 # Instances try a promotion one after the other, this far apart.
 RANK_DELAY_S = 0.15
@@ -141,9 +142,7 @@
                 if isinstance(step, failover.Finished):
                     self._finish_promotion(state, step)
                     return
-                task = asyncio.create_task(self._run_step(step, inbox))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                spawn(self._tasks, self._run_step(step, inbox))
             kind, database, answer = await inbox.get()
             if kind == "accept":
                 steps = failover.accepted(state, database, answer)
--- a/dragonflywing/router.py
+++ b/dragonflywing/router.py
@@ -9,6 +9,7 @@
 from dragonflywing.decisions.positions import Position
 from dragonflywing.links import LinkLost, idl, pack, unpack
 from dragonflywing.ports import Answer, DatabaseStatus
+from dragonflywing.supervisor import spawn
 
 # Instances asked to reach a database before it counts as out of reach, and how
 # long one that could not is asked last.
@@ -180,9 +181,7 @@
             self.end_here(database, handle)
         else:
             body = f"{database} {handle}".encode()
-            task = asyncio.create_task(self._end_at(home, body))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            spawn(self._tasks, self._end_at(home, body))
 
     async def _end_at(self, home, body):
         try:
--- a/dragonflywing/supervisor.py
+++ b/dragonflywing/supervisor.py
@@ -28,6 +28,17 @@
     )
 
 
+def spawn(tasks, coroutine):
+    """Start a task and keep it in the set `tasks` until it ends; return it.
+
+    The loop itself holds no task, so one that nobody keeps may be collected.
+    """
+    task = asyncio.create_task(coroutine)
+    tasks.add(task)
+    task.add_done_callback(tasks.discard)
+    return task
+
+
 async def supervise(name, start, metrics):
     """Run `start()` until cancelled, again after each unexpected exception."""
     loop = asyncio.get_running_loop()
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -96,6 +96,10 @@
             await database.start()
             self.announce(database, place)
         self.configure()
+        await self.start_instances()
+
+    async def start_instances(self):
+        """Start all entry instances and wait until they are ready."""
         for number in range(self.instances):
             await self.start_instance(f"front-{number}", PLACES[number % 3])
         await asyncio.gather(*[self.wait_ready(name) for name in self.processes])
@@ -186,10 +190,26 @@
                 stderr=log,
             )
 
-    async def kill(self, name):
-        """Kill an instance's process and wait for its end."""
-        self.processes[name].send_signal(signal.SIGKILL)
-        await self.processes[name].wait()
+    async def kill_instances(self):
+        """Kill all entry instances and wait for their end."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGKILL)
+        for process in self.processes.values():
+            await process.wait()
+
+    async def count_run(self, callers, seconds, pause_s):
+        """Read over and over with all callers; return how many statements ran."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+
+        async def press(caller):
+            while loop.time() < end:
+                await caller.query("READ a")
+                await asyncio.sleep(pause_s)
+
+        before = len(self.group.ran)
+        await asyncio.gather(*[press(caller) for caller in callers])
+        return len(self.group.ran) - before
 
     async def is_ready(self, name):
         """Return whether an instance answers its ready probe with 200."""
--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -125,14 +125,11 @@
             caller = await site.connect("front-0", "orders")
             assert (await caller.query("WRITE a 1"))[0] == ""
             await asyncio.sleep(2)
-            for name in list(site.processes):
-                await site.kill(name)
+            await site.kill_instances()
             databases["db-0"].crash()
             for name in ("db-0", "db-2"):
                 site.state.delete(f"servers/{name}")
-            for number, place in enumerate(PLACES):
-                await site.start_instance(f"front-{number}", place)
-            await asyncio.gather(*[site.wait_ready(name) for name in site.processes])
+            await site.start_instances()
             # Longer than a database that vanished counts without a record of it.
             await asyncio.sleep(8)
             assert not databases["db-1"].is_primary, "it lacks the write"
@@ -158,17 +155,14 @@
             caller = await site.connect("front-0", "orders")
             assert (await caller.query("WRITE a 1"))[0] == ""
             await asyncio.sleep(2)
-            for name in list(site.processes):
-                await site.kill(name)
+            await site.kill_instances()
             databases["db-0"].crash()
             site.state.delete("servers/db-0")
             new = StandinDatabase(site.group, "db-new")
             await new.start()
             new.crash()
             site.announce(new, PLACES[0])
-            for number, place in enumerate(PLACES):
-                await site.start_instance(f"front-{number}", place)
-            await asyncio.gather(*[site.wait_ready(name) for name in site.processes])
+            await site.start_instances()
             end = asyncio.get_running_loop().time() + 12
             code = "BUSY"
             while code and asyncio.get_running_loop().time() < end:
@@ -249,16 +243,7 @@
                 await site.connect(f"front-{number % 3}", "marks", "key-harbor")
                 for number in range(6)
             ]
-            end = asyncio.get_running_loop().time() + 5
-
-            async def press(caller):
-                while asyncio.get_running_loop().time() < end:
-                    await caller.query("READ a")
-                    await asyncio.sleep(0.02)
-
-            before = len(site.group.ran)
-            await asyncio.gather(*[press(caller) for caller in callers])
-            ran = len(site.group.ran) - before
+            ran = await site.count_run(callers, 5, 0.02)
             # A rate of 20/s and a burst of 20, a tenth and 20 more at most.
             assert 60 <= ran <= (5 * 20 + 20) * 1.1 + 20
             refused = re.search("event=refused request=(\\S+)", site.log_of("front-0"))
@@ -373,17 +358,7 @@
             await site.connect(f"front-{number}", "marks", "key-harbor")
             for number in range(3, 15, 2)
         ]
-        loop = asyncio.get_running_loop()
-        end = loop.time() + 5
-
-        async def press(caller):
-            while loop.time() < end:
-                await caller.query("READ a")
-                await asyncio.sleep(0.03)
-
-        before = len(site.group.ran)
-        await asyncio.gather(*[press(caller) for caller in callers])
-        ran = len(site.group.ran) - before
+        ran = await site.count_run(callers, 5, 0.03)
         assert 60 <= ran <= (5 * 20 + 20) * 1.1 + 20
 
 
