--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -13,7 +13,8 @@
 from dragonflywing import logs
 from dragonflywing.clock import boottime
 from dragonflywing.decisions import membership, relays
-from dragonflywing.errors import HistoryLost, StoreError
+from dragonflywing.errors import StoreError
+from dragonflywing.following import Follower, retry_pause_s
 from dragonflywing.links import Link, LinkLost, pack
 
 FLEET_PREFIX = "dfw/"  # of the keys that instances write
@@ -21,10 +22,8 @@
 # An instance that crashes stays listed for this long. That is longer than the time
 # after which an instance without confirmation refuses all operations, so no share
 # of the rates is used twice.
-MEMBER_LEASE_S = 6.0
-RENEW_S = 1.5
-WATCH_S = 15.0  # the store allows up to 30 s; each watch counts as a call
-STORE_RETRY_S = 0.4
+MEMBER_LEASE_S = 9.0
+RENEW_S = 2.7
 EXCHANGE_S = 0.5
 EXCHANGE_TIMEOUT_S = 0.6
 # Pause while some partner has not answered since it registered, as after a start.
@@ -33,6 +32,11 @@
 SILENT_AFTER_S = 1.3
 # The same for one known through a relay only; the relay may have to be replaced.
 RELAYED_SILENT_AFTER_S = 3.0
+# An instance that its relay has not answered for this long follows the store itself.
+SERVED_S = 3.0
+# How long the list of live instances, and what follows from it, is used before it is
+# computed again. A contact from a silent instance ends this at once.
+LIVENESS_PERIOD_S = 0.1
 
 
 class Peer(NamedTuple):
@@ -45,6 +49,22 @@
     incarnation: int
 
 
+class Liveness:
+    """The live instances at one moment, and what was derived from them.
+
+    `peers` holds the live other instances and `names` their names. The
+    dictionaries cache the homes of databases, in order, and the relays of data
+    centres.
+    """
+
+    def __init__(self, peers, valid_until):
+        self.peers = peers
+        self.names = {peer.instance for peer in peers}
+        self.valid_until = valid_until
+        self.homes = {}
+        self.relays = {}
+
+
 class Cluster:
     """This instance's registration, the other instances, and calls to them."""
 
@@ -52,6 +72,8 @@
         self.settings = settings
         self.store = store
         self.metrics = metrics
+        # The keys that instances write; the owner sets what is called for changes.
+        self.keys = Follower(store, FLEET_PREFIX, None, metrics)
         self.incarnation = random.getrandbits(40)
         self.peers = {}
         self.links = {}
@@ -62,10 +84,14 @@
         self._current_partners = set()  # the partners of the latest round
         self._member_added = asyncio.Event()
         self._last_question_at = {}  # when each instance last sent a question
+        self._answered_at = {}  # when each instance last answered one
+        self._registered_at = {}  # when each instance's entry was last new
         self.make_question = None
         self.apply_answer = None
-        self.extra_partners = set  # returns partners that do not depend on the role
+        self.find_floor_partners = set
+        self.floor_partners = set()  # the instances whose floors this one uses
         self._order_cache = {}
+        self._liveness = None
         self._member_lease = 0
 
     def _now(self):
@@ -83,6 +109,7 @@
         }
         key = MEMBER_PREFIX + self.settings.instance
         lease_s = max(MEMBER_LEASE_S, self.settings.lease_min_s)
+        failures = 0
         while True:
             pause = RENEW_S
             try:
@@ -94,10 +121,12 @@
                     await self.store.swap(key, value, None, lease)
                     self._member_lease = lease
                     logs.event("registered", instance=self.settings.instance)
+                failures = 0
             except StoreError as exc:
                 self.metrics.count("store.register_failed")
                 logs.event("register_failed", error=str(exc))
-                pause = STORE_RETRY_S
+                failures += 1
+                pause = retry_pause_s(failures)
             await asyncio.sleep(pause * random.uniform(0.8, 1.0))
 
     async def withdraw(self):
@@ -109,18 +138,18 @@
                 logs.event("withdraw_failed", error=str(exc))
 
     def apply_member(self, key, value):
-        """Apply another instance's entry; `value` is None if it was removed."""
+        """Apply another instance's entry; `value` is None if it was removed.
+
+        Return whether the known instances have changed.
+        """
         instance = key[len(MEMBER_PREFIX) :]
         if instance == self.settings.instance:
-            return
+            return False
         if value is None:
-            if self.peers.pop(instance, None):
-                self._order_cache.clear()
-                self._close_link(instance)
-                self.leaving_peers.discard(instance)
-                self.answered.discard(instance)
-                logs.event("member_gone", instance=instance)
-            return
+            if not self.peers.pop(instance, None):
+                return False
+            self._forget_member(instance)
+            return True
         try:
             entry = json.loads(value)
             peer = Peer(
@@ -133,16 +162,33 @@
         except (ValueError, KeyError, TypeError):
             self.metrics.count("refused.bad_member")
             logs.warn("bad_member", instance=instance)
-            return
-        if self.peers.get(instance) != peer:
-            self.peers[instance] = peer
-            self._order_cache.clear()
-            self._close_link(instance)
-            self.leaving_peers.discard(instance)
-            self.answered.discard(instance)
-            self.last_contact_at[instance] = self._now()
-            self._member_added.set()
-            logs.event("member", instance=instance, data_centre=peer.data_centre)
+            return False
+        if self.peers.get(instance) == peer:
+            return False
+        self.peers[instance] = peer
+        self._forget_member(instance)
+        self.last_contact_at[instance] = self._registered_at[instance] = self._now()
+        self._member_added.set()
+        return True
+
+    def _forget_member(self, instance):
+        """Forget what is known about an instance that was replaced or removed."""
+        self._order_cache.clear()
+        self._liveness = None
+        self._close_link(instance)
+        self.leaving_peers.discard(instance)
+        self.answered.discard(instance)
+
+    def leave(self):
+        """Mark this instance as leaving; it becomes the home of no database."""
+        self.leaving = True
+        self._liveness = None
+
+    def note_leaving(self, instances):
+        """Mark other instances as leaving."""
+        if not instances <= self.leaving_peers:
+            self.leaving_peers |= instances
+            self._liveness = None
 
     def _close_link(self, instance):
         link = self.links.pop(instance, None)
@@ -164,13 +210,21 @@
         """Call another instance; return the answer's bytes or raise LinkLost."""
         return await self.link(instance).call(name, body, timeout_s)
 
+    def liveness(self):
+        """Return the current Liveness."""
+        now = self._now()
+        if self._liveness is None or now >= self._liveness.valid_until:
+            peers = [
+                peer
+                for name, peer in self.peers.items()
+                if name not in self.leaving_peers and not self.is_silent(name)
+            ]
+            self._liveness = Liveness(peers, now + LIVENESS_PERIOD_S)
+        return self._liveness
+
     def alive(self):
         """Return the other instances that are neither silent nor leaving."""
-        return [
-            peer
-            for name, peer in self.peers.items()
-            if name not in self.leaving_peers and not self.is_silent(name)
-        ]
+        return self.liveness().peers
 
     def is_silent(self, instance):
         """Return whether there has been no contact to an instance for too long."""
@@ -199,12 +253,22 @@
         return self._order_cache[key]
 
     def home_candidates(self, database):
-        """Return the live instances in the order in which they become the home."""
-        eligible = {peer.instance for peer in self.alive()}
-        if not self.leaving or not eligible:
-            eligible.add(self.settings.instance)
-        order = self._order(database.name, database.data_centre)
-        return [name for name in order if name in eligible]
+        """Return the live instances in the order in which they become the home.
+
+        The list is cached and must not be changed.
+        """
+        liveness = self.liveness()
+        key = (database.name, database.data_centre)
+        if key not in liveness.homes:
+            order = self._order(*key)
+            serves = not self.leaving or not liveness.names
+            own = self.settings.instance
+            liveness.homes[key] = [
+                name
+                for name in order
+                if name in liveness.names or (serves and name == own)
+            ]
+        return liveness.homes[key]
 
     def first_home(self, database):
         """Return the first home among all instances that are not leaving.
@@ -229,11 +293,18 @@
 
         A relay exchanges state on behalf of its data centre with the other relays.
         """
-        eligible = {p.instance for p in self.alive() if p.data_centre == data_centre}
-        if data_centre == self.settings.data_centre and not self.leaving:
-            eligible.add(self.settings.instance)
-        order = self._order("relay", data_centre)
-        return next((name for name in order if name in eligible), None)
+        liveness = self.liveness()
+        if data_centre not in liveness.relays:
+            eligible = {
+                p.instance for p in liveness.peers if p.data_centre == data_centre
+            }
+            if data_centre == self.settings.data_centre and not self.leaving:
+                eligible.add(self.settings.instance)
+            order = self._order("relay", data_centre)
+            liveness.relays[data_centre] = next(
+                (name for name in order if name in eligible), None
+            )
+        return liveness.relays[data_centre]
 
     def relays(self):
         """Return the relay of each data centre."""
@@ -257,24 +328,44 @@
         registered = {p.instance: p.data_centre for p in self.peers.values()}
         data_centre = self.settings.data_centre
         partners = relays.partners(self.role(), data_centre, registered, self.relays())
-        return (partners | self.extra_partners()) & registered.keys()
+        self.floor_partners = self.find_floor_partners()
+        return (partners | self.floor_partners) & registered.keys()
 
-    def confirm_rank(self):
-        """Return this instance's rank among those that may read the configuration.
+    def rank(self, subject):
+        """Return this instance's rank among those that act for the whole fleet.
 
-        The first of them read it from the store on behalf of the whole fleet.
+        In a large fleet these are the relays, and all others come after them.
         """
-        names = [peer.instance for peer in self.alive()]
         role = self.role()
-        if role is not relays.Role.DIRECT:
-            names = [name for name in self.relays().values() if name]
+        if role is relays.Role.DIRECT:
+            names = self.liveness().names
+        else:
+            names = {name for name in self.relays().values() if name}
         if role is relays.Role.MEMBER:
             return len(names)
-        return membership.rank("confirm", self.settings.instance, names)
+        return membership.rank(subject, self.settings.instance, names)
+
+    def is_served(self):
+        """Return whether the relay passes on the changes of the store's keys."""
+        if self.role() is not relays.Role.MEMBER:
+            return False
+        relay = self.relay(self.settings.data_centre)
+        # A relay that was just registered or chosen has some time to answer first.
+        since = max(
+            self._answered_at.get(relay, 0.0), self._registered_at.get(relay, 0.0)
+        )
+        return self._now() - since < SERVED_S
 
     def note_contact(self, instance):
         """Note a contact with an instance."""
         self.last_contact_at[instance] = self._now()
+        if instance in self.peers and instance not in self.leaving_peers:
+            self._note_live({instance})
+
+    def _note_live(self, instances):
+        """Compute the live instances anew if one of these was not among them."""
+        if self._liveness is not None and not instances <= self._liveness.names:
+            self._liveness = None
 
     def note_question(self, instance):
         """Note a question from an instance; in a large fleet it counts as a contact."""
@@ -285,11 +376,13 @@
     def note_relayed(self, scope, silent, leaving):
         """Apply a relay's report on the silent and leaving instances of `scope`."""
         now = self._now()
-        for name in scope - set(silent):
+        live = scope - set(silent)
+        for name in live:
             self.last_contact_at[name] = now
         for name in (scope & set(silent)) - self._current_partners:
             self.last_contact_at[name] = now - RELAYED_SILENT_AFTER_S
-        self.leaving_peers |= scope & set(leaving)
+        self.note_leaving(scope & set(leaving))
+        self._note_live(live - self.leaving_peers)
 
     def silent_s(self, instance):
         """Return the seconds since the last direct or relayed contact."""
@@ -330,7 +423,7 @@
 
     async def _exchange(self, instance):
         asked_at = boottime()
-        question = self.make_question()
+        question = self.make_question(instance)
         try:
             answer = await self.call(
                 instance, "exchange", pack(question), EXCHANGE_TIMEOUT_S
@@ -342,6 +435,7 @@
                 self._close_link(instance)
             return
         self.note_contact(instance)
+        self._answered_at[instance] = self._now()
         self.answered.add(instance)
         await self.apply_answer(instance, question, answer, asked_at)
 
@@ -349,35 +443,3 @@
         """Close all connections to other instances."""
         for instance in list(self.links):
             self._close_link(instance)
-
-
-async def follow(store, prefix, on_list, on_change, metrics, batch_s=lambda: 0.0):
-    """Follow all keys under a prefix until cancelled.
-
-    `on_list(items)` is called with a complete list, `on_change(item)` with each
-    later change. Each answer of the store counts as a call, so changes within
-    `batch_s()` are read with one.
-    """
-    is_up = True
-    while True:
-        try:
-            items, revision = await store.get_prefix(prefix)
-            if not is_up:
-                logs.event("store_regained", prefix=prefix)
-            is_up = True
-            on_list(items)
-            while True:
-                changes, revision = await store.watch(prefix, revision, WATCH_S)
-                for item in changes:
-                    on_change(item)
-                if changes:
-                    await asyncio.sleep(batch_s())
-        except StoreError as exc:
-            if is_up:
-                logs.event("store_lost", prefix=prefix, error=str(exc))
-            is_up = False
-            metrics.count("store.follow_failed")
-        except HistoryLost:
-            metrics.count("store.history_lost")
-            continue
-        await asyncio.sleep(STORE_RETRY_S * random.uniform(0.5, 1.0))
--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -1,33 +1,37 @@
 """The documents that an instance follows: the configuration and the databases.
 
-Two instances read the configuration from the store. The others receive its
+One instance confirms the configuration with the store. The others receive its
 version and the age of its confirmation in exchanges, and fetch a newer version
-from the instance that reports it. Every instance watches the list of databases
-itself, and fetches it from another instance if the store fails.
+from the instance that reports it. Entries of databases come from the store or, in
+a large fleet, from the data centre's relay.
 """
 
 import asyncio
-import json
 import random
+import zlib
 
 from dragonflywing import logs
 from dragonflywing.clock import boottime
 from dragonflywing.decisions.relays import Role
-from dragonflywing.errors import StoreError, UserError
-from dragonflywing.links import LinkLost
-
-# How often, and by how many instances, the configuration is read for the fleet.
-CONFIRM_INTERVAL_S = 0.8
-CONFIRMERS = 2
-# An instance that has received no confirmation for this long reads the store itself.
+from dragonflywing.errors import HistoryLost, StoreError, UserError
+from dragonflywing.following import Follower
+from dragonflywing.links import LinkLost, idl, pack, unpack
+
+# How often one instance confirms the configuration for the fleet.
+CONFIRM_INTERVAL_S = 0.9
+# The next instance asks the store itself after it has received no confirmation for
+# this long, and each further one a little later.
 CONFIRM_STALE_AFTER_S = 1.8
+CONFIRM_RANK_DELAY_S = 0.15
+MAX_RANKS_DELAYED = 4
 # Added to this in fleets with relays, where a confirmation takes one more exchange.
-RELAY_DELAY_S = 0.8
+RELAY_DELAY_S = 0.6
+# Greatest pause between attempts to read the configuration while the store is away.
+MAX_CONFIRM_PAUSE_S = 3.0
 # Subtracted from the time within which a withdrawn key must stop working.
 WITHDRAWAL_MARGIN_S = 0.4
-FETCH_TIMEOUT_S = 1.5  # up to some hundred KB between regions
-# An instance fetches another one's list if its own is older than this.
-LIST_STALE_AFTER_S = 2.5
+FETCH_TIMEOUT_S = 5.0  # a compressed configuration, on a slow link that others share
+COMPRESSION_LEVEL = 1
 
 
 class Directory:
@@ -40,13 +44,14 @@
         self.cluster = cluster
         self.metrics = metrics
         self.cfg = None
-        self.cfg_bytes = b""
         self.confirmed_at = None
-        self.has_database_list = False
-        self.databases = {}
-        self.revision = 0
-        self.listed_at = None
+        self.confirmed_revision = 0
+        self.entries = Follower(
+            ports.store, ports.database_prefix, self._apply_entries, metrics
+        )
+        self.entries.may_hold = self._may_hold
         self.on_configuration = None
+        self._compressed = b""
         self._fetching = False
 
     def now(self):
@@ -71,125 +76,144 @@
         return self.confirmation_age() < max_age_s
 
     def _apply_configuration(self, data, source):
+        """Apply a configuration; return whether it is the one in force now."""
         try:
             cfg = self.ports.decode_configuration(data)
         except UserError as exc:
             self.metrics.count("refused.bad_configuration")
             logs.warn("bad_configuration", source=source, error=str(exc))
-            return
+            return False
         if cfg.version <= self.version():
-            return
+            return cfg.version == self.version()
         self.cfg = cfg
-        self.cfg_bytes = data
+        self._compressed = zlib.compress(data, COMPRESSION_LEVEL)
         self.groups.specs = cfg.groups
         self.on_configuration(cfg)
         self.metrics.count(f"configuration.from_{source}")
-        logs.event("configuration", version=cfg.version, source=source)
+        logs.event("configuration", version=cfg.version, source=source, size=len(data))
+        return True
 
-    def confirm(self, version, asked_at):
-        """Note that `version` was the latest one at `asked_at`."""
-        if version == self.version() and self.cfg is not None:
-            if self.confirmed_at is None or asked_at > self.confirmed_at:
-                self.confirmed_at = asked_at
+    def confirm(self, version, asked_at, revision):
+        """Note that `version` was the latest one at `asked_at`.
+
+        `revision` is one of the store at which it was the latest, 0 if unknown.
+        """
+        if version != self.version() or self.cfg is None:
+            return
+        if self.confirmed_at is None or asked_at > self.confirmed_at:
+            self.confirmed_at = asked_at
+        self.confirmed_revision = max(self.confirmed_revision, revision or 0)
 
     async def keep_confirmed(self):
-        """Read the configuration from the store when needed, until cancelled."""
+        """Confirm the configuration with the store when needed, until cancelled."""
+        pause_s = CONFIRM_INTERVAL_S
         while True:
-            rank = self.cluster.confirm_rank()
-            has_relays = self.cluster.role() is not Role.DIRECT
-            limit_s = CONFIRM_STALE_AFTER_S + (RELAY_DELAY_S if has_relays else 0.0)
-            is_stale = self.confirmation_age() > limit_s
-            if rank < CONFIRMERS or is_stale or self.cfg is None:
-                asked_at = boottime()
+            started_at = self.now()
+            if self._should_ask_store():
                 try:
-                    item, _ = await self.ports.store.get(self.ports.configuration_key)
+                    await self._ask_store()
                 except StoreError as exc:
                     self.metrics.count("store.confirm_failed")
                     logs.event(
                         "confirm_failed", error=str(exc), age_s=self.confirmation_age()
                     )
-                else:
-                    if item is not None:
-                        if item.value != self.cfg_bytes:
-                            self._apply_configuration(item.value, "store")
-                        if item.value == self.cfg_bytes:
-                            self.confirm(self.version(), asked_at)
-            await asyncio.sleep(CONFIRM_INTERVAL_S * random.uniform(0.8, 1.0))
+            if self._is_confirmer() or not self._should_ask_store():
+                pause_s = CONFIRM_INTERVAL_S
+            else:
+                pause_s = min(2 * pause_s, MAX_CONFIRM_PAUSE_S)
+            # Reading a large value takes long, so its confirmation is already old.
+            elapsed_s = self.now() - started_at
+            await asyncio.sleep(
+                max(0.0, pause_s * random.uniform(0.8, 1.0) - elapsed_s)
+            )
+
+    def _is_confirmer(self):
+        return self.cluster.rank("confirm") == 0
+
+    def _should_ask_store(self):
+        rank = self.cluster.rank("confirm")
+        limit_s = CONFIRM_STALE_AFTER_S
+        limit_s += min(rank - 1, MAX_RANKS_DELAYED) * CONFIRM_RANK_DELAY_S
+        if self.cluster.role() is not Role.DIRECT:
+            limit_s += RELAY_DELAY_S
+        is_stale = self.confirmation_age() > limit_s
+        return rank == 0 or self.cfg is None or is_stale
+
+    async def _ask_store(self):
+        """Confirm the configuration in force with the store, or read a newer one.
+
+        Only changes are transferred. The value may be large, so reading all of it
+        each time would take the link from the calls that keep leases.
+        """
+        asked_at = boottime()
+        key, store = self.ports.configuration_key, self.ports.store
+        item = None
+        if self.cfg is None or not self.confirmed_revision:
+            item, revision = await store.get(key)
+        else:
+            try:
+                items, revision = await store.watch(key, self.confirmed_revision, 0.0)
+                item = next((x for x in reversed(items) if x.key == key), None)
+            except HistoryLost:
+                self.metrics.count("store.history_lost")
+                item, revision = await store.get(key)
+        is_current = item is None or (
+            item.value is not None and self._apply_configuration(item.value, "store")
+        )
+        if is_current:
+            self.confirm(self.version(), asked_at, revision)
 
     # Databases
 
-    def _apply_list(self, items, revision):
-        """Replace the list of databases by `items`: {key: value}."""
-        self.databases = items
-        self.revision = revision
-        self.listed_at = self.now()
-        listed = {}
-        for key, value in items.items():
-            database = self.ports.decode_database(key, value)
+    @property
+    def has_database_list(self):
+        """Whether all listed databases are known."""
+        return self.entries.has_list
+
+    def _database_name(self, key):
+        return key[len(self.ports.database_prefix) :]
+
+    def _may_hold(self, key):
+        """Return whether an entry may be kept that was removed during an outage."""
+        database = self.groups.databases.get(self._database_name(key))
+        return database is not None and not database.is_leaving
+
+    def _apply_entries(self, items):
+        """Apply changed entries of databases."""
+        for item in items:
+            database = None
+            if item.value is not None:
+                database = self.ports.decode_database(item.key, item.value)
+                if database is None:
+                    self.metrics.count("refused.bad_database_entry")
+                    logs.event("bad_database_entry", key=item.key)
             if database is None:
-                self.metrics.count("refused.bad_database_entry")
-                logs.event("bad_database_entry", key=key)
-            else:
-                listed[database.name] = database
-        for name in [name for name in self.groups.databases if name not in listed]:
-            self.groups.remove_database(name)
-        for database in listed.values():
-            if self.groups.databases.get(database.name) != database:
+                self.groups.remove_database(self._database_name(item.key))
+            elif self.groups.databases.get(database.name) != database:
                 self.groups.note_database(database)
 
-    def apply_database_list(self, items):
-        """Apply the complete list of databases from the store."""
-        revision = max([item.revision for item in items], default=0)
-        self._apply_list({item.key: item.value for item in items}, revision)
-        self.has_database_list = True
-
-    def apply_database_change(self, item):
-        """Apply a change of one database's entry."""
-        items = dict(self.databases)
-        if item.value is None:
-            items.pop(item.key, None)
-        else:
-            items[item.key] = item.value
-        self._apply_list(items, max(self.revision, item.revision))
-
-    # Documents of another instance
-
-    def should_fetch(self, revision):
-        """Return whether to fetch a list of databases of this revision."""
-        if self.listed_at is None:
-            return True
-        is_stale = self.now() - self.listed_at > LIST_STALE_AFTER_S
-        return is_stale and revision > self.revision
+    # The configuration of another instance
 
     async def fetch(self, instance):
-        """Fetch the configuration and the list of databases from another instance."""
+        """Fetch the configuration from another instance."""
         if self._fetching:
             return
         self._fetching = True
         try:
-            body = await self.cluster.call(instance, "documents", b"", FETCH_TIMEOUT_S)
-        except LinkLost as exc:
-            logs.event("documents_not_fetched", instance=instance, error=str(exc))
+            body = await self.cluster.call(
+                instance, "configuration", b"", FETCH_TIMEOUT_S
+            )
+            document = unpack(idl.Document, body)
+            data = zlib.decompress(document.compressed)
+        except (LinkLost, zlib.error) as exc:
+            logs.event("configuration_not_fetched", instance=instance, error=str(exc))
             return
         finally:
             self._fetching = False
-        document = json.loads(body)
-        if document["configuration"]:
-            self._apply_configuration(document["configuration"].encode(), "peer")
-        if document["revision"] > self.revision:
-            items = {
-                key: value.encode() for key, value in document["databases"].items()
-            }
-            self._apply_list(items, document["revision"])
-
-    def documents(self):
-        """Return the configuration and the list of databases for another instance."""
-        databases = {
-            key: value.decode(errors="replace") for key, value in self.databases.items()
-        }
-        document = {
-            "configuration": self.cfg_bytes.decode(),
-            "revision": self.revision,
-            "databases": databases,
-        }
-        return json.dumps(document).encode()
+        self._apply_configuration(data, "peer")
+
+    def document(self):
+        """Return the configuration for another instance."""
+        return pack(
+            idl.Document(revision=self.confirmed_revision, compressed=self._compressed)
+        )
--- a/dragonflywing/exchange.py
+++ b/dragonflywing/exchange.py
@@ -4,15 +4,22 @@
 relays forward summaries of their data centres.
 """
 
+import zlib
+
 from dragonflywing import logs
 from dragonflywing.clock import boottime
-from dragonflywing.decisions import division, floors
+from dragonflywing.decisions import division, floors, replicas
 from dragonflywing.decisions.positions import Position
 from dragonflywing.decisions.relays import Role
 from dragonflywing.links import idl, pack, unpack
+from dragonflywing.ports import StoredItem
 
 # Unit of the rates of all other instances, as a relay sums them up.
 FLEET = "fleet"
+COMPRESSION_LEVEL = 1
+# First byte of zlib's format. A Thrift struct starts with the type of a field, and
+# no type has this number.
+ZLIB_FIRST_BYTE = 0x78
 
 
 def data_centre_unit(data_centre):
@@ -20,6 +27,35 @@
     return f"data centre {data_centre}"
 
 
+def pack_changes(changes):
+    """Return Changes of the store's keys as a Thrift struct, None if there are none."""
+    if changes is None:
+        return None
+    items = [
+        idl.StoredKey(
+            key=item.key,
+            value=item.value or b"",
+            revision=item.revision,
+            deleted=item.value is None,
+        )
+        for item in changes.items
+    ]
+    return idl.KeyChanges(
+        complete=changes.is_complete, revision=changes.revision, items=items
+    )
+
+
+def unpack_changes(message):
+    """Return the Changes in a Thrift struct."""
+    items = []
+    for item in message.items:
+        # thriftpy2 decodes binary fields that hold UTF-8 as text.
+        value = item.value if isinstance(item.value, bytes) else item.value.encode()
+        value = None if item.deleted else value
+        items.append(StoredItem(item.key, value, item.revision))
+    return replicas.Changes(message.complete, message.revision, items)
+
+
 class Exchange:
     """Builds questions and answers for other instances, and applies theirs."""
 
@@ -29,58 +65,110 @@
         self.cluster = cluster
         self.directory = directory
         self.division = division_state
+        self.is_home_in = None  # whether this instance is a home of a group's database
         self._role = None
+        self._digests = {}  # of the primaries that each partner last knew
 
-    def _views(self, with_floors):
-        now = boottime()
-        views = []
-        for state in self.groups.groups.values():
-            floor = state.floor if with_floors else None
-            position = floor.position if floor else Position(0, 0)
-            views.append(
-                idl.GroupView(
-                    group=state.name,
-                    primary=state.primary or "",
-                    term=state.term,
-                    floor_term=position.term,
-                    floor_index=position.index,
-                    floor_age=now - floor.asked_at if floor else -1.0,
-                )
-            )
-        return views
+    def _view(self, state, floor):
+        position = floor.position if floor else Position(0, 0)
+        return idl.GroupView(
+            group=state.name,
+            primary=state.primary or "",
+            term=state.term,
+            floor_term=position.term,
+            floor_index=position.index,
+            floor_age=boottime() - floor.asked_at if floor else -1.0,
+        )
+
+    def _primaries_digest(self):
+        """Return a number that differs if the known primaries differ."""
+        known = sorted(
+            f"{state.name} {state.primary} {state.term}"
+            for state in self.groups.groups.values()
+            if state.primary and state.term
+        )
+        return zlib.crc32("\n".join(known).encode())
 
     # Questions
 
-    def make_question(self):
-        """Return the question for other instances, with this instance's own state.
+    def make_question(self, partner):
+        """Return the question for another instance, with this instance's own state.
 
         It holds no ages, since a question may be read late.
         """
-        demand, admitted = division.report(self.division)
-        has_relays = self.cluster.role() is not Role.DIRECT
+        demand, admitted = {}, {}
+        if self._divides_rates(partner):
+            demand, admitted = division.report(self.division)
+        digest = self._primaries_digest()
+        groups = []
+        if self._digests.get(partner) != digest:
+            groups = [self._view(x, None) for x in self.groups.groups.values()]
+        peer = self.cluster.peers.get(partner)
         return idl.Exchange(
             instance=self.settings.instance,
             leaving=self.cluster.leaving,
             demand=demand,
             admitted=admitted,
             config_version=self.directory.version(),
-            directory_revision=self.directory.revision,
-            groups=self._views(False) if has_relays else [],
+            database_revision=self.directory.entries.replica.revision,
+            groups=groups,
+            fleet_revision=self.cluster.keys.replica.revision,
+            primaries_digest=digest,
+            floors=partner in self.cluster.floor_partners,
+            compress=bool(peer) and peer.data_centre != self.settings.data_centre,
         )
 
+    def _divides_rates(self, partner):
+        """Return whether another instance takes this one's demand into account."""
+        role = self.cluster.role()
+        if role is Role.MEMBER:
+            return partner == self.cluster.relay(self.settings.data_centre)
+        return role is Role.DIRECT
+
     def answer(self, body):
         """Apply a question and return the state that this instance knows, with ages."""
         message = unpack(idl.Exchange, body)
         self._apply_question(message)
-        return pack(
+        digest = self._primaries_digest()
+        answer = pack(
             idl.Beliefs(
                 config_version=self.directory.version(),
                 config_age=self.directory.confirmation_age(),
-                directory_revision=self.directory.revision,
-                groups=self._views(True),
+                directory_revision=0,
+                groups=self._views_for(message, digest),
                 summary=self._summary(message.instance),
+                databases=self._changes(
+                    self.directory.entries, message.database_revision
+                ),
+                fleet=self._changes(self.cluster.keys, message.fleet_revision),
+                config_revision=self.directory.confirmed_revision,
+                primaries_digest=digest,
             )
         )
+        if message.compress:
+            answer = zlib.compress(answer, COMPRESSION_LEVEL)
+        return answer
+
+    def _views_for(self, question, digest):
+        """Return the views of groups that the asker lacks.
+
+        Floors are confirmed by the homes of the primaries and used by those of the
+        replicas, so only these exchange them.
+        """
+        differs = question.primaries_digest != digest
+        views = []
+        for state in self.groups.groups.values():
+            wants_floor = question.floors and self.is_home_in(state.name)
+            floor = state.floor if wants_floor else None
+            if floor or differs:
+                views.append(self._view(state, floor))
+        return views
+
+    def _changes(self, follower, revision):
+        """Return what another instance's copy lacks, None if it lacks nothing."""
+        if revision is None:
+            return None  # the question of an earlier build
+        return pack_changes(replicas.changes_since(follower.replica, revision))
 
     def _apply_question(self, message):
         """Apply the state that another instance sent with its question."""
@@ -89,7 +177,7 @@
         if peer is None:
             return
         if message.leaving:
-            self.cluster.leaving_peers.add(name)
+            self.cluster.note_leaving({name})
         self.cluster.note_question(name)
         for view in message.groups:
             self._note_primary(view)
@@ -113,7 +201,10 @@
 
     async def apply_answer(self, instance, question, body, asked_at):
         """Apply the answer to a question that was sent at `asked_at`."""
+        if body[0] == ZLIB_FIRST_BYTE:
+            body = zlib.decompress(body)
         message = unpack(idl.Beliefs, body)
+        self._digests[instance] = message.primaries_digest
         for view in message.groups:
             self._note_primary(view)
             if view.floor_age >= 0:
@@ -122,10 +213,17 @@
                 self.groups.note_floor(view.group, floor)
         if message.summary is not None:
             self._apply_summary(instance, question, message.summary)
-        should_fetch = self.directory.should_fetch(message.directory_revision)
-        if message.config_version > self.directory.version() or should_fetch:
+        if message.databases is not None:
+            self.directory.entries.apply(unpack_changes(message.databases))
+        if message.fleet is not None:
+            self.cluster.keys.apply(unpack_changes(message.fleet))
+        if message.config_version > self.directory.version():
             await self.directory.fetch(instance)
-        self.directory.confirm(message.config_version, asked_at - message.config_age)
+        self.directory.confirm(
+            message.config_version,
+            asked_at - message.config_age,
+            message.config_revision,
+        )
 
     def _apply_summary(self, instance, question, summary):
         peer = self.cluster.peers.get(instance)
@@ -174,9 +272,9 @@
 
     def _reachable_units(self, units):
         """Return those of the units that can report now."""
-        alive = self.cluster.alive()
-        reachable = {peer.instance for peer in alive} | {FLEET}
-        reachable |= {data_centre_unit(peer.data_centre) for peer in alive}
+        liveness = self.cluster.liveness()
+        reachable = liveness.names | {FLEET}
+        reachable |= {data_centre_unit(peer.data_centre) for peer in liveness.peers}
         return units & reachable
 
     def _is_complete(self, units):
@@ -195,7 +293,7 @@
         leaving = self.cluster.leaving_peers & scope
         if self.cluster.leaving:
             leaving = leaving | {self.settings.instance}
-        alive = {item.instance for item in self.cluster.alive()}
+        alive = self.cluster.liveness().names
         return idl.Summary(
             complete=self._is_complete(units),
             demand=demand,
--- /dev/null
+++ b/dragonflywing/following.py
@@ -0,0 +1,102 @@
+"""Follows the keys under a prefix of the store, directly or through other instances."""
+
+import asyncio
+import random
+
+from dragonflywing import logs
+from dragonflywing.decisions import replicas
+from dragonflywing.errors import HistoryLost, StoreError
+
+WATCH_S = 25.0  # the store allows up to 30 s; each watch counts as a call
+RETRY_S = 0.4
+# Greatest pause between attempts while the store is away.
+MAX_RETRY_S = 1.6
+# How often an instance that receives changes from others checks whether it still
+# does.
+CHECK_INTERVAL_S = 0.2
+
+
+def retry_pause_s(failures):
+    """Return the pause after a number of failed calls to the store in a row."""
+    pause_s = min(RETRY_S * 2 ** (failures - 1), MAX_RETRY_S)
+    return pause_s * random.uniform(0.5, 1.0)
+
+
+class Follower:
+    """A copy of the keys under a prefix, which it keeps up to date.
+
+    `on_items(items)` is called with the items that changed, `may_hold(key)` says
+    whether a deletion may be held back after an outage of the store. While
+    `is_served()` is true, other instances pass the changes on, and the store is
+    not asked. Changes within `batch_s()` are read with one call.
+    """
+
+    def __init__(self, store, prefix, on_items, metrics):
+        self.store = store
+        self.prefix = prefix
+        self.on_items = on_items
+        self.metrics = metrics
+        self.replica = replicas.Replica()
+        self.has_list = False
+        self.may_hold = lambda key: True
+        self.is_served = lambda: False
+        self.batch_s = lambda: 0.0
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+    def apply(self, changes):
+        """Apply Changes, from the store or from another instance."""
+        self.replica.restored_at = self.store.restored_at
+        items = replicas.apply_changes(
+            self.replica, self._now(), changes, self.may_hold
+        )
+        self.has_list = self.has_list or changes.is_complete
+        if items:
+            self.on_items(items)
+
+    def expire(self):
+        """Apply deletions that were held back long enough."""
+        items = replicas.expire(self.replica, self._now())
+        if items:
+            self.on_items(items)
+
+    async def run(self):
+        """Follow the keys until cancelled."""
+        failures = 0
+        while True:
+            try:
+                if not self.has_list:
+                    await self._read_list(may_be_old=failures == 0)
+                elif self.is_served():
+                    await asyncio.sleep(CHECK_INTERVAL_S)
+                else:
+                    await self._watch()
+                if failures:
+                    logs.event("store_regained", prefix=self.prefix)
+                failures = 0
+            except HistoryLost:
+                self.metrics.count("store.history_lost")
+                self.has_list = False
+                failures = max(failures, 1)
+            except StoreError as exc:
+                if not failures:
+                    logs.event("store_lost", prefix=self.prefix, error=str(exc))
+                failures += 1
+                self.metrics.count("store.follow_failed")
+                await asyncio.sleep(retry_pause_s(failures))
+
+    async def _read_list(self, may_be_old):
+        items, revision = await self.store.get_prefix(self.prefix, may_be_old)
+        if may_be_old:
+            # The list may be older than the revision that the store has reached.
+            revision = max([item.revision for item in items], default=0)
+        self.apply(replicas.Changes(True, revision, items))
+
+    async def _watch(self):
+        items, revision = await self.store.watch(
+            self.prefix, self.replica.revision, WATCH_S
+        )
+        self.apply(replicas.Changes(False, revision, items))
+        if items:
+            await asyncio.sleep(self.batch_s())
--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import math
 
 from dragonflywing import logs
 from dragonflywing.clock import boottime
@@ -26,6 +27,9 @@
 # acknowledge writes: three missed reports and the store's delay.
 UNLISTED_COUNTED_S = 6.0
 FENCE_TIMEOUT_S = 0.6  # a round trip to the farthest database and a wait for a slot
+# Subtracted from the time after which a leaving database receives no requests, for
+# the way of its entry to this instance and for a statement's wait in a queue.
+DRAIN_MARGIN_S = 1.5
 # A round queries the remaining databases if the first ones have not answered after
 # this time: a round trip between regions and a wait for a slot.
 FENCE_SECOND_QUERY_DELAY_S = 0.08
@@ -61,10 +65,13 @@
     name and may lack writes that they acknowledged before.
     """
 
-    def __init__(self, ports, metrics):
+    def __init__(self, ports, metrics, drain_s=math.inf):
         self.ports = ports
         self.metrics = metrics
+        self.drain_s = drain_s
         self.databases = {}
+        self._leaving_since = {}  # when each leaving database was first seen so
+        self._by_group = {}  # {group: {name: Database}}, the listed databases
         self.unlisted = {}
         self.rosters = {}  # {group: {name: born}} as in the store
         self.reborn = set()
@@ -91,8 +98,15 @@
     def note_database(self, database):
         """Apply the entry with which a database last reported itself."""
         old = self.databases.get(database.name)
+        if old is not None and old.group != database.group:
+            del self._by_group[old.group][old.name]
         self.databases[database.name] = database
+        self._by_group.setdefault(database.group, {})[database.name] = database
         self.unlisted.pop(database.name, None)
+        if database.is_leaving:
+            self._leaving_since.setdefault(database.name, self._now())
+        else:
+            self._leaving_since.pop(database.name, None)
         if old is not None and old.born != database.born:
             self._mark_reborn(database)
         self._check_restart(database)
@@ -127,6 +141,8 @@
         database = self.databases.pop(name, None)
         if database is None:
             return
+        del self._by_group[database.group][name]
+        self._leaving_since.pop(name, None)
         logs.event("database_gone", database=name, leaving=database.is_leaving)
         if not database.is_leaving:
             self.unlisted[name] = (database, self._now())
@@ -137,9 +153,16 @@
         if home is not None:
             home.close()
 
+    def accepts_requests(self, name):
+        """Return whether a database is listed and not about to end its service."""
+        if name not in self.databases:
+            return False
+        since = self._leaving_since.get(name)
+        return since is None or self._now() - since < self.drain_s - DRAIN_MARGIN_S
+
     def members(self, group):
         """Return the listed databases of a group."""
-        return [item for item in self.databases.values() if item.group == group]
+        return list(self._by_group.get(group, {}).values())
 
     def note_roster(self, group, start_times):
         """Set a group's roster, the databases that may hold its writes.
--- a/dragonflywing/link.thrift
+++ b/dragonflywing/link.thrift
@@ -43,11 +43,32 @@
 struct Exchange {
   1: string instance,
   2: bool leaving,
+  // Only if the partner divides the rates for the asker:
   3: map<string, double> demand,    // operations a second by workspace
   4: map<string, i64> admitted,     // operations since the start by workspace
   5: i64 config_version,
-  6: i64 directory_revision,
-  7: list<GroupView> groups,        // only in fleets with relays
+  6: i64 database_revision,         // of the copy of the databases' entries
+  7: list<GroupView> groups,        // if the partner knows other primaries
+  8: i64 fleet_revision,            // of the copy of the instances' keys
+  9: i64 primaries_digest,          // of the known primaries of all groups
+  10: bool floors,                  // whether the asker uses floors
+  11: bool compress,                // whether to compress the answer by zlib
+}
+
+// A key of the store as of its last change.
+struct StoredKey {
+  1: string key,
+  2: binary value,
+  3: i64 revision,
+  4: bool deleted,
+}
+
+// What changed in a copy of the store's keys since the asker's revision; all keys if
+// it is complete.
+struct KeyChanges {
+  1: bool complete,
+  2: i64 revision,
+  3: list<StoredKey> items,
 }
 
 // A relay's summary: of its data centre for other relays, of the whole fleet for the
@@ -65,9 +86,19 @@
 struct Beliefs {
   1: i64 config_version,
   2: double config_age,
-  3: i64 directory_revision,
-  4: list<GroupView> groups,
+  3: i64 directory_revision,        // 0; earlier builds compare it
+  4: list<GroupView> groups,        // those that the asker lacks
   5: optional Summary summary,      // from relays only
+  6: optional KeyChanges databases,
+  7: optional KeyChanges fleet,
+  8: i64 config_revision,           // of the store, at which the version was newest
+  9: i64 primaries_digest,
+}
+
+// A configuration as the operator wrote it.
+struct Document {
+  1: i64 revision,
+  2: binary compressed,             // by zlib
 }
 
 // One call; `body` is one of the above or text. Answers have no envelope.
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -9,7 +9,7 @@
 
 from dragonflywing import gauges, logs, supervisor
 from dragonflywing.clock import boottime
-from dragonflywing.cluster import FLEET_PREFIX, MEMBER_PREFIX, Cluster, follow
+from dragonflywing.cluster import MEMBER_PREFIX, Cluster
 from dragonflywing.decisions import division
 from dragonflywing.directory import Directory
 from dragonflywing.errors import UserError
@@ -22,8 +22,12 @@
 
 # Time over which a large fleet collects registrations before it watches again, to
 # save calls when many instances start together. A small fleet does without, as the
-# calls cost less than the delay.
+# calls cost less than the delay, except for a short time after the start.
 MEMBER_BATCH_S = 0.8
+START_BATCH_S = 0.1
+# An instance that has started within this time may not know yet that its fleet is
+# large. It relies on the list of databases that it has just read.
+STARTING_S = 2.0
 TICK_INTERVAL_S = 0.1  # for queues, demand and idle connections
 FENCE_PERIOD_S = 0.45  # keeps floors far younger than the routes' maximal ages
 # Pause after SIGTERM: the balancer takes two failed probes, one a second, to notice.
@@ -34,6 +38,7 @@
 # How much longer than the operation's own wait a relay may take to answer.
 RELAY_MARGIN_S = 0.15
 START_POLL_S = 0.02  # far below what a caller notices
+MAX_LOGGED_MEMBERS = 8  # names in a log line about changed instances
 
 
 class Node:
@@ -43,7 +48,7 @@
         self.settings = settings
         self.ports = ports
         self.metrics = metrics
-        self.groups = Groups(ports, metrics)
+        self.groups = Groups(ports, metrics, settings.drain_s)
         self.cluster = Cluster(settings, ports.store, metrics)
         shared_args = (settings, ports, self.groups, self.cluster, metrics)
         self.directory = Directory(*shared_args)
@@ -56,12 +61,19 @@
         )
         self.cluster.make_question = self.exchange.make_question
         self.cluster.apply_answer = self.exchange.apply_answer
-        self.cluster.extra_partners = self._homes_of_groups
+        self.cluster.find_floor_partners = self._floor_partners
+        self.exchange.is_home_in = self._is_home_in
+        self.cluster.keys.on_items = self._apply_fleet_keys
+        self.cluster.keys.may_hold = lambda key: key.startswith(MEMBER_PREFIX)
+        self.cluster.keys.batch_s = self._member_batch_s
+        self.cluster.keys.is_served = self.cluster.is_served
+        self.directory.entries.is_served = self._is_served_databases
         self.replacer = Replacer(self)
         self.links = LinkServer(self._handle_call, self._link_closed, metrics)
         metrics.gauges += gauges.node_gauges(self)
         self.draining = asyncio.Event()
         self._is_started = False
+        self._started_at = 0.0
         self._tasks = set()
 
     def now(self):
@@ -75,22 +87,23 @@
     # The fleet's keys in the store
 
     def _apply_fleet_keys(self, items):
-        """Apply a complete list of the keys that instances write to the store."""
-        present = {item.key: item.value for item in items}
-        for name in list(self.cluster.peers):
-            if MEMBER_PREFIX + name not in present:
-                self.cluster.apply_member(MEMBER_PREFIX + name, None)
-        self.replacer.apply_duty(None)
+        """Apply changes of the keys that instances write to the store."""
+        changed = []
         for item in items:
-            self._apply_fleet_key(item)
-
-    def _apply_fleet_key(self, item):
-        if item.key == DUTY_KEY:
-            self.replacer.apply_duty(item)
-        elif item.key.startswith(ROSTER_PREFIX):
-            self.replacer.apply_roster(item)
-        elif item.key.startswith(MEMBER_PREFIX):
-            self.cluster.apply_member(item.key, item.value)
+            if item.key == DUTY_KEY:
+                self.replacer.apply_duty(item)
+            elif item.key.startswith(ROSTER_PREFIX):
+                self.replacer.apply_roster(item)
+            elif item.key.startswith(MEMBER_PREFIX):
+                if self.cluster.apply_member(item.key, item.value):
+                    changed.append(item.key[len(MEMBER_PREFIX) :])
+        if changed:
+            logs.event(
+                "members",
+                changed=",".join(changed[:MAX_LOGGED_MEMBERS]),
+                count=len(changed),
+                known=len(self.cluster.peers),
+            )
 
     async def _handle_call(self, name, body, origin):
         """Answer a call of another instance."""
@@ -111,16 +124,25 @@
             database, _, handle = body.decode().partition(" ")
             self.router.end_transaction_locally(database, handle)
             return b""
-        if name == "documents":
-            return self.directory.documents()
+        if name == "configuration":
+            return self.directory.document()
         raise ValueError(f"unknown call {name!r}")
 
     def _link_closed(self, origin):
         for home in self.groups.homes.values():
             home.roll_back_all(origin)
 
+    def _age_s(self):
+        """Return the seconds since this process started."""
+        return self.now() - self._started_at
+
     def _member_batch_s(self):
-        return 0.0 if self.cluster.is_small() else MEMBER_BATCH_S
+        if not self.cluster.is_small():
+            return MEMBER_BATCH_S
+        return START_BATCH_S if self._age_s() < STARTING_S else 0.0
+
+    def _is_served_databases(self):
+        return self._age_s() < STARTING_S or self.cluster.is_served()
 
     # Interface for sessions
 
@@ -179,6 +201,8 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             division.measure_demand(self.division, boottime())
             self.exchange.update_units()
+            self.cluster.keys.expire()
+            self.directory.entries.expire()
             self._sweep_homes()
             if self.now() >= next_fence:
                 next_fence = self.now() + FENCE_PERIOD_S
@@ -201,19 +225,31 @@
             )
             home.sweep(is_home, max_connections, idle_s)
 
-    def _homes_of_groups(self):
-        """Return the other homes in each group of which this instance is a home.
+    def _homes_in(self, group):
+        """Return the homes of a group's databases."""
+        return {
+            self.router.home_candidates(database)[0]
+            for database in self.groups.members(group)
+        }
+
+    def _is_home_in(self, group):
+        return self.settings.instance in self._homes_in(group)
+
+    def _floor_partners(self):
+        """Return the instances whose floors this one uses.
 
-        The home of a primary confirms the floors that the replicas' homes need.
+        The home of a primary confirms the floors that the replicas' homes need, and
+        that show the holder of the duty that the primary answers.
         """
         own_instance, partners = self.settings.instance, set()
-        for group in self.groups.groups:
-            homes = {
-                self.router.home_candidates(database)[0]
-                for database in self.groups.members(group)
-            }
+        holds_duty = self.replacer.holds_duty()
+        for group, state in self.groups.groups.items():
+            homes = self._homes_in(group)
             if own_instance in homes:
                 partners |= homes
+            primary = self.groups.databases.get(state.primary)
+            if holds_duty and primary is not None:
+                partners.add(self.router.home_candidates(primary)[0])
         return partners - {own_instance}
 
     def _refresh_floors(self):
@@ -282,26 +318,14 @@
             logs.event("stopped", instance=self.settings.instance)
 
     async def _start(self, tasks):
-        settings, store = self.settings, self.ports.store
+        settings = self.settings
+        self._started_at = self.now()
         await self.links.start(settings.host, settings.peer_port)
         starts = {
             "register": self.cluster.register,
             "exchange": self.cluster.exchange,
-            "instances": lambda: follow(
-                store,
-                FLEET_PREFIX,
-                self._apply_fleet_keys,
-                self._apply_fleet_key,
-                self.metrics,
-                self._member_batch_s,
-            ),
-            "databases": lambda: follow(
-                store,
-                self.ports.database_prefix,
-                self.directory.apply_database_list,
-                self.directory.apply_database_change,
-                self.metrics,
-            ),
+            "instances": self.cluster.keys.run,
+            "databases": self.directory.entries.run,
             "configuration": self.directory.keep_confirmed,
             "tick": self._tick,
             "duty": self.replacer.run,
@@ -313,7 +337,7 @@
     async def _drain(self, callers):
         """Leave the balancer's rotation, then wait for sessions and transactions."""
         logs.event("draining", sessions=len(callers.connections))
-        self.cluster.leaving = True
+        self.cluster.leave()
         started_at = self.now()
         await self.replacer.release_duty()
         end = started_at + self.settings.shutdown_s - EXIT_MARGIN_S
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -1,25 +1,20 @@
 """Clients of the platform's store and of its promotion service."""
 
+import asyncio
 import base64
 import contextlib
 import json
-from typing import NamedTuple
 
 import aiohttp
 
 from dragonflywing.clock import boottime
 from dragonflywing.errors import HistoryLost, StoreError
+from dragonflywing.ports import StoredItem
 
 CALL_TIMEOUT_S = 1.0  # the store answers in 4 ms, a slow one in about 300 ms
-WATCH_MARGIN_S = 1.0  # added to the time for which the store may hold a watch
-
-
-class Item(NamedTuple):
-    """A key in the store; `value` is None if the key was deleted."""
-
-    key: str
-    value: bytes | None
-    revision: int
+# Limits for a call that may return a large value: in all, and without any bytes.
+DOCUMENT_TIMEOUT_S = 10.0
+SILENT_TIMEOUT_S = 1.0
 
 
 @contextlib.contextmanager
@@ -34,7 +29,16 @@
 def _item(document):
     value = document.get("value")
     data = None if document.get("tombstone") else base64.b64decode(value or "")
-    return Item(document["key"], data, document["revision"])
+    return StoredItem(document["key"], data, document["revision"])
+
+
+def _document_timeout(wait_s=0.0):
+    """Return the timeout of a call that the store may hold for `wait_s`."""
+    return aiohttp.ClientTimeout(
+        total=wait_s + DOCUMENT_TIMEOUT_S,
+        sock_connect=CALL_TIMEOUT_S,
+        sock_read=wait_s + SILENT_TIMEOUT_S,
+    )
 
 
 class PlatformStore:
@@ -44,6 +48,8 @@
         self.url = url
         self.metrics = metrics
         self.answered_at = None
+        self.restored_at = None  # loop time of the first answer after failed calls
+        self._is_failing = False
         self._session = None
 
     async def open(self):
@@ -56,9 +62,9 @@
         """Close all connections."""
         await self._session.close()
 
-    async def _call(self, method, path, body=None, timeout_s=CALL_TIMEOUT_S, **query):
+    async def _call(self, method, path, body=None, timeout=None, **query):
         self.metrics.count("store.calls")
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        timeout = timeout or aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         try:
             async with self._session.request(
                 method, self.url + path, json=body, params=query, timeout=timeout
@@ -66,24 +72,39 @@
                 data = await resp.read()
                 status = resp.status
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            self._is_failing = True
             raise StoreError(f"{path}: {type(exc).__name__}", True) from None
         if status in (429, 503):
+            self._is_failing = True
             raise StoreError(f"{path}: status {status}", False)
         self.answered_at = boottime()
+        if self._is_failing:
+            self._is_failing = False
+            self.restored_at = asyncio.get_running_loop().time()
         with _reject_malformed(path):
             return status, json.loads(data) if data else {}
 
     async def get(self, key):
-        """Return a key's Item (None if absent) and the store's revision."""
-        status, body = await self._call("GET", "/-/kv-key", key=key)
+        """Return a key's Item (None if absent) and the store's revision.
+
+        A large value may take several seconds on a slow link.
+        """
+        status, body = await self._call(
+            "GET", "/-/kv-key", timeout=_document_timeout(), key=key
+        )
         with _reject_malformed("key"):
             return (_item(body) if status == 200 else None), body.get("current_rev", 0)
 
-    async def get_prefix(self, prefix):
-        """Return all Items under a prefix and the revision to watch from."""
+    async def get_prefix(self, prefix, may_be_old=False):
+        """Return all Items under a prefix and the revision to watch from.
+
+        With `may_be_old` the call is cheaper, and the list may be seconds old.
+        """
         items, revision, after = [], None, ""
         while True:
             query = {"prefix": prefix}
+            if may_be_old:
+                query["serializable"] = 1
             if after:
                 query["after"] = after
             status, body = await self._call("GET", "/-/kv-range", **query)
@@ -101,7 +122,8 @@
     async def watch(self, prefix, after, wait_s):
         """Return changed Items after a revision, and the revision to watch from next.
 
-        The store answers once there are changes, or after `wait_s` without any.
+        The store answers once there are changes, or after `wait_s` without any. A
+        large value may take several seconds on a slow link.
         """
         status, body = await self._call(
             "GET",
@@ -109,7 +131,7 @@
             prefix=prefix,
             after=after,
             wait_ms=int(wait_s * 1000),
-            timeout_s=wait_s + WATCH_MARGIN_S,
+            timeout=_document_timeout(wait_s),
         )
         if status == 410:
             raise HistoryLost(prefix)
--- a/dragonflywing/ports.py
+++ b/dragonflywing/ports.py
@@ -5,6 +5,14 @@
 from dragonflywing.decisions.positions import Position
 
 
+class StoredItem(NamedTuple):
+    """A key in the store; `value` is None if the key was deleted."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
 class Answer(NamedTuple):
     """A database's answer to one statement.
 
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -11,8 +11,9 @@
 
 from dragonflywing import logs
 from dragonflywing.clock import boottime
-from dragonflywing.decisions import membership, replacement, rosters
+from dragonflywing.decisions import replacement, rosters
 from dragonflywing.decisions.positions import confirmed_primary
+from dragonflywing.decisions.relays import Role
 from dragonflywing.errors import StoreError
 from dragonflywing.groups import as_vote
 
@@ -34,6 +35,9 @@
 PROMOTION_EFFECT_TIMEOUT_S = 2.5  # usually some hundred ms after the order
 PROMOTION_POLL_S = 0.05
 ACQUIRE_DELAY_S = 0.3  # for each rank, so that instances try one after the other
+MAX_RANKS_DELAYED = 5
+# Delay of the instances of a large fleet that are no relays.
+MEMBER_ACQUIRE_DELAY_S = 4.0
 
 
 class Replacer:
@@ -102,14 +106,15 @@
         self.lease = 0
 
     async def _acquire(self):
+        """Acquire the duty if it is free, after the instances of a lower rank."""
         if self.cluster.leaving or not self.node.directory.has_database_list:
             return
-        names = [peer.instance for peer in self.cluster.alive()]
-        rank = membership.rank("duty", self.node.settings.instance, names)
+        if self._is_held():
+            return
+        await asyncio.sleep(self._acquire_delay_s())
         item = self._duty_item
-        if item is not None and not self._is_from_earlier_process(item):
+        if self._is_held():
             return
-        await asyncio.sleep(min(rank, 5) * ACQUIRE_DELAY_S)
         asked_at = boottime()
         if not self.lease:
             self.lease = await self.store.grant_lease(DUTY_LEASE_S)
@@ -119,13 +124,34 @@
         holder_id = f"{self.node.settings.instance}/{self.cluster.incarnation}"
         token = await self._claim(holder_id, item)
         if not token:
-            # The watch lags behind, so read the key itself.
-            self._duty_item, _ = await self.store.get(DUTY_KEY)
-        else:
-            self.token = token
-            self.valid_until = asked_at + DUTY_LEASE_S
-            self._health.clear()
-            logs.event("duty_taken", token=token)
+            # The copy of the keys lags behind, so read the key itself.
+            current, _ = await self.store.get(DUTY_KEY)
+            self.apply_duty(current)
+            return
+        # The copy of the rosters may lag behind too; promotions depend on them.
+        rosters_now, _ = await self.store.get_prefix(ROSTER_PREFIX)
+        for roster in rosters_now:
+            self.apply_roster(roster)
+        self.token = token
+        self.valid_until = asked_at + DUTY_LEASE_S
+        self._health.clear()
+        logs.event("duty_taken", token=token)
+
+    def _is_held(self):
+        """Return whether another instance holds the duty."""
+        item = self._duty_item
+        return item is not None and not self._is_from_earlier_process(item)
+
+    def _acquire_delay_s(self):
+        """Return how long to leave the duty to the instances of a lower rank.
+
+        In a large fleet the relays are asked first, so that instances that learn
+        late of the holder do not all ask the store.
+        """
+        rank = self.cluster.rank("duty")
+        if self.cluster.role() is not Role.MEMBER:
+            return min(rank, MAX_RANKS_DELAYED) * ACQUIRE_DELAY_S
+        return MEMBER_ACQUIRE_DELAY_S * random.uniform(1.0, 2.0)
 
     def _is_from_earlier_process(self, item):
         # The holder was an earlier process of this instance, which has ended.
--- a/dragonflywing/router.py
+++ b/dragonflywing/router.py
@@ -19,6 +19,7 @@
 REMOTE_READ_TIMEOUT_S = 0.7  # longer than a home's queue and its timeout for a read
 LINK_MARGIN_S = 0.15  # a round trip between the farthest data centres
 BEHIND_EXCLUDED_S = 0.3  # a replica that was behind is not chosen for this time
+PRIMARY_POLL_S = 0.02
 LOAD_VALID_S = 0.5  # how long the load reported with an answer is used
 # Round trips within a region and between regions, from the deployments' data sheets.
 SAME_REGION_RTT_S = 0.0015
@@ -80,16 +81,18 @@
 
         Those that recently could not reach the database come last.
         """
+        names = self.cluster.home_candidates(database)
+        unreachable = self._unreachable_until.get(database.name)
+        if not unreachable:
+            return names
         now = self.now()
-        return sorted(
-            self.cluster.home_candidates(database),
-            key=lambda name: (
-                self._unreachable_until.get((name, database.name), 0.0) > now
-            ),
-        )
+        for name in [x for x, until in unreachable.items() if until <= now]:
+            del unreachable[name]
+        return sorted(names, key=lambda name: name in unreachable)
 
     def _note_unreachable(self, instance, database):
-        self._unreachable_until[(instance, database)] = self.now() + HOME_UNREACHABLE_S
+        unreachable = self._unreachable_until.setdefault(database, {})
+        unreachable[instance] = self.now() + HOME_UNREACHABLE_S
         self.metrics.count("home.unreachable")
 
     async def _command_at(self, instance, database, text):
@@ -125,6 +128,8 @@
                 "",
                 own_instance,
             )
+        if not req.transaction and not self.groups.accepts_requests(req.database):
+            return self._leaving(), "", own_instance
         floor = Position(req.floor_term, req.floor_index)
         if req.max_age >= 0 and not req.transaction:
             position = await self._floor(home.database.group, req.max_age)
@@ -137,6 +142,11 @@
         answer, handle = await home.run(req, floor, origin)
         return answer, handle, own_instance
 
+    def _leaving(self):
+        self.metrics.count("refused.leaving")
+        text = "the database is leaving, not run, retry in 300 ms"
+        return self.failure(outcomes.OVERLOADED, text)
+
     async def run(self, req):
         """Run a statement at a home that can reach its database.
 
@@ -145,6 +155,8 @@
         target = self.groups.databases.get(req.database)
         if target is None:
             return self.failure(outcomes.WRONG_DATABASE, "unknown database"), "", ""
+        if not self.groups.accepts_requests(req.database):
+            return self._leaving(), "", ""
         homes = self.home_candidates(target)[:MAX_HOMES_TRIED]
         end = self.now() + req.timeout
         for instance in homes:
@@ -288,7 +300,7 @@
             if self.now() >= end:
                 self.metrics.count("refused.no_primary")
                 return None
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(PRIMARY_POLL_S)
         return state.primary
 
 
--- a/dragonflywing/standin/platform_store.py
+++ b/dragonflywing/standin/platform_store.py
@@ -3,10 +3,12 @@
 import asyncio
 import base64
 import json
+from collections import Counter
 
 from aiohttp import web
 
 EXPIRY_INTERVAL_S = 0.05
+SLOW_CHUNK_BYTES = 8192  # bytes sent at once over a slow link
 
 
 class PlatformState:
@@ -14,6 +16,8 @@
 
     `leases` maps an id to (duration in seconds, end); `promote(group, database)`
     returns an HTTP status; `promotions` holds (holder, token, group, database).
+    `calls` counts the calls by path and `watching` those that wait for changes. All
+    answers share a link of `bytes_per_s`, if it is set.
     """
 
     def __init__(self, promote):
@@ -25,6 +29,23 @@
         self.is_down = False
         self.promote = promote
         self.promotions = []
+        self.calls = Counter()
+        self.watching = 0
+        self.bytes_per_s = None
+        self._link = asyncio.Lock()
+
+    async def send_slowly(self, req, resp):
+        """Send a response over the slow link; return it."""
+        body, resp = resp.body, web.StreamResponse(status=resp.status)
+        resp.content_length = len(body)
+        await resp.prepare(req)
+        for start in range(0, len(body), SLOW_CHUNK_BYTES):
+            chunk = body[start : start + SLOW_CHUNK_BYTES]
+            async with self._link:
+                await asyncio.sleep(len(chunk) / self.bytes_per_s)
+            await resp.write(chunk)
+        await resp.write_eof()
+        return resp
 
     def put(self, key, value, lease=0):
         """Write a key; return the revision."""
@@ -102,10 +123,13 @@
         if events or remaining_s <= 0 or state.is_down:
             body = {"events": events, "current_rev": state.revision}
             return web.json_response(body)
+        state.watching += 1
         try:
             await asyncio.wait_for(changed.wait(), remaining_s)
         except TimeoutError:
             continue
+        finally:
+            state.watching -= 1
 
 
 async def _txn(state, req):
@@ -171,7 +195,9 @@
         async def handle_if_up(req):
             if state.is_down:
                 return web.json_response({}, status=503)
-            return await handle(state, req)
+            state.calls[req.match_info.route.resource.canonical] += 1
+            resp = await handle(state, req)
+            return await state.send_slowly(req, resp) if state.bytes_per_s else resp
 
         return handle_if_up
 
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -5,6 +5,8 @@
 import json
 import os
 import signal
+import socket
+import struct
 import sys
 import time
 
@@ -24,6 +26,7 @@
     "batches": ("read_your_writes", 2500),
 }
 START_TIMEOUT_S = 20.0
+DRAIN_MS = 4000
 
 
 class Caller:
@@ -60,6 +63,13 @@
         """Close the connection."""
         self.writer.close()
 
+    def reset(self):
+        """Reset the connection."""
+        sock = self.writer.get_extra_info("socket")
+        # Without a linger time, closing sends a reset.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
 
 class Deployment:
     """One group of three databases, a store and entry instances."""
@@ -119,9 +129,15 @@
         }
         self.platform.put(f"servers/{database.name}", platform_store.encode(entry))
 
-    def put_configuration(self):
-        """Write the next version of the configuration."""
+    def put_configuration(self, unused_routes=0):
+        """Write the next version of the configuration.
+
+        `unused_routes` more routes make it large.
+        """
         self.version += 1
+        routes = dict(ROUTES)
+        for number in range(unused_routes):
+            routes[f"unused-{number}"] = ("primary", 0)
         document = {
             "config_version": self.version,
             "routes": [
@@ -136,7 +152,7 @@
                     "max_staleness_ms": age,
                     "public": False,
                 }
-                for name, (kind, age) in ROUTES.items()
+                for name, (kind, age) in routes.items()
             ],
             "services": [
                 {"name": self.group.name, "max_conns": 16, "sync_replicas": 1}
@@ -169,7 +185,12 @@
             },
             "port_range": [peer_port, metrics_port],
             "heartbeat_ms": 500,
-            "bounds": {"revoke_ms": 5000, "grace_s": 6, "quota_window_s": 5},
+            "bounds": {
+                "revoke_ms": 5000,
+                "grace_s": 6,
+                "quota_window_s": 5,
+                "drain_ms": DRAIN_MS,
+            },
             "platform": {
                 "address": f"127.0.0.1:{self.store_port}",
                 "ttl_min_ms": 1000,
@@ -237,11 +258,14 @@
             assert time.monotonic() < end, f"{name} was not ready in time"
             await asyncio.sleep(0.05)
 
+    async def open(self, name):
+        """Return a Caller that has sent nothing yet."""
+        port = self._ports[name][0]
+        return Caller(*await asyncio.open_connection("127.0.0.1", port))
+
     async def connect(self, name, route, key="key-press"):
         """Return a Caller, or the error code with which its STARTUP is refused."""
-        caller = Caller(
-            *await asyncio.open_connection("127.0.0.1", self._ports[name][0])
-        )
+        caller = await self.open(name)
         caller.writer.write(lines.encode("STARTUP", route, key))
         word, _, rest = (await caller.read_line()).partition(" ")
         if word == "READY":
--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -7,9 +7,10 @@
 import pytest
 
 from dragonflywing.decisions import membership, relays
+from dragonflywing.standin import platform_store
 from dragonflywing.standin.platform_database import StandinDatabase
 from test.helper import run
-from test.platform.deployment import DATA_CENTRES, deployed
+from test.platform.deployment import DATA_CENTRES, DRAIN_MS, deployed
 
 
 class TestWithoutFaults:
@@ -314,6 +315,68 @@
             assert "database=db-0 sent=True cause=ConnectionFailed" in lost
 
 
+class TestLeavingPrimary:
+    """A primary that leaves while too few databases answer to replace it."""
+
+    def test_receives_no_requests_after_the_drain_time(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path) as deployment:
+            loop = asyncio.get_running_loop()
+            caller = await deployment.connect("front-1", "orders")
+            assert (await caller.query("WRITE a 1"))[0] == ""
+            # Two of four databases are dark, and three are needed.
+            deployment.group.databases["db-2"].crash()
+            roster = {f"db-{number}": 1 for number in range(4)}
+            deployment.platform.put(
+                "dfw/groups/orders-db", platform_store.encode(roster)
+            )
+            await asyncio.sleep(0.5)
+            primary = deployment.group.databases["db-0"]
+            leaving_at = loop.time()
+            deployment.put_database_entry(primary, DATA_CENTRES[0], "draining")
+            last_served_at, refused = 0.0, 0
+            while loop.time() < leaving_at + DRAIN_MS / 1000 + 2:
+                asked_at = loop.time()
+                code, _, _ = await caller.query("WRITE a 2")
+                if code == "":
+                    last_served_at = asked_at
+                else:
+                    assert code == "BUSY"
+                    refused += 1
+                    assert loop.time() - asked_at < 1.0, "not refused at once"
+                await asyncio.sleep(0.05)
+            assert deployment.platform.promotions == []
+            assert leaving_at + 1 < last_served_at < leaving_at + DRAIN_MS / 1000
+            assert refused > 0
+
+
+class TestCallersThatLeave:
+    """Callers that reset their connection while their start is awaited."""
+
+    def test_are_no_failures(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path, 1) as deployment:
+            deployment.platform.is_down = True
+            await deployment.kill_instances()
+            await deployment.start_instance("front-0", DATA_CENTRES[0])
+            for _ in range(50):
+                await asyncio.sleep(0.1)
+                try:
+                    caller = await deployment.open("front-0")
+                except OSError:
+                    continue
+                caller.writer.write(b"STARTUP orders key-press\r\n")
+                await asyncio.sleep(0.02)
+                caller.reset()
+            await asyncio.sleep(1.5)
+            assert "task_failed" not in deployment.log_of("front-0")
+            assert 'event="caller.left"' in await deployment.metrics("front-0")
+
+
 class TestShutdown:
     def test_interrupts_no_request(self, tmp_path):
         run(self._check(tmp_path))
@@ -362,6 +425,36 @@
                 assert await deployment.connect(name, "orders") == "NOAUTH"
             await self._check_rate(deployment)
 
+    def test_few_instances_follow_the_store(self, tmp_path):
+        run(self._check_calls(tmp_path))
+
+    async def _check_calls(self, tmp_path):
+        async with deployed(tmp_path, self.SIZE) as deployment:
+            await asyncio.sleep(4)
+            # The relay of each data centre follows the instances and the databases.
+            assert deployment.platform.watching <= 2 * len(DATA_CENTRES)
+            deployment.platform.calls.clear()
+            seconds = 6
+            await asyncio.sleep(seconds)
+            calls = deployment.platform.calls
+            renewals = calls.pop("/-/kv-keep/{lease}")
+            # In 6 s an instance renews its lease at most 3 times, at intervals of at
+            # least 2.1 s, and the holder of the duty its own at most 11 times.
+            assert renewals <= 3 * self.SIZE + 11
+            # Two relays confirm the configuration about 1.5 times a second.
+            assert sum(calls.values()) < 2 * 1.5 * seconds + 10, calls
+            await self._check_changes(deployment)
+
+    async def _check_changes(self, deployment):
+        """Check that all instances learn of a database that leaves."""
+        replica = deployment.group.databases["db-1"]
+        deployment.put_database_entry(replica, DATA_CENTRES[1], "draining")
+        await asyncio.sleep(2)
+        for name in deployment.processes:
+            assert "database=db-1 group=orders-db leaving=True" in deployment.log_of(
+                name
+            )
+
     async def _check_rate(self, deployment):
         """Request ten times the rate of a workspace, through six instances."""
         callers = [
@@ -372,6 +465,36 @@
         assert 60 <= executed <= (5 * 20 + 20) * 1.1 + 20
 
 
+class TestLargeConfiguration:
+    """A configuration that takes longer to read than a lease may wait for its renewal.
+
+    The store is behind a link of 2 Mbit/s.
+    """
+
+    def test_is_read_and_leaves_the_link_to_leases(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path, 2) as deployment:
+            deployment.platform.bytes_per_s = 250_000
+            deployment.put_configuration(unused_routes=1900)
+            size = len(deployment.platform.items["op/config"]["value"])
+            assert size > 300_000, size
+            await deployment.kill_instances()
+            started_at = asyncio.get_running_loop().time()
+            await deployment.start_instances()
+            assert asyncio.get_running_loop().time() - started_at < 8
+            caller = await deployment.connect("front-0", "orders")
+            deployment.platform.calls.clear()
+            for _ in range(60):
+                assert (await caller.query("READ a"))[0] == ""
+                await asyncio.sleep(0.1)
+            for name in deployment.processes:
+                assert "register_failed" not in deployment.log_of(name)
+                assert "confirm_failed" not in deployment.log_of(name)
+            assert deployment.platform.calls["/-/kv-key"] == 0
+
+
 class TestLostRelay:
     """Callers in a data centre whose relay is killed or stopped."""
 
