--- a/dragonflywing/callers.py
+++ b/dragonflywing/callers.py
@@ -275,7 +275,7 @@
         """Wait before the next attempt, or raise if no time or retry budget is left."""
         pause = retries.backoff(attempt, random)
         is_late = self._now() + pause >= deadline
-        if is_late or exc.code in (errors.RATE_EXCEEDED, errors.OVERLOADED):
+        if is_late or exc.code in errors.FINAL_CODES:
             raise exc
         # The wait for a new primary is exempt from the retry budget, which a busy
         # instance would exhaust before the failover ends.
@@ -328,7 +328,7 @@
         if request_id is not None:
             request_records.check_id(request_id)
         self.entry.retry_budget.record_attempt()
-        attempt = 0
+        attempt, may_have_run = 0, False
         while True:
             try:
                 if request_id is None:
@@ -339,6 +339,10 @@
             except DatabaseError:
                 raise
             except DfwError as exc:
+                may_have_run = may_have_run or exc.verdict is Verdict.MAY_HAVE_RUN
+                if may_have_run:
+                    # A later attempt that did not run says nothing about this one.
+                    exc.verdict = Verdict.MAY_HAVE_RUN
                 if not retries.may_retry(exc.verdict, False, request_id is not None):
                     raise
                 await self._pause_or_raise(exc, attempt, deadline, "write")
--- a/dragonflywing/errors.py
+++ b/dragonflywing/errors.py
@@ -41,6 +41,22 @@
 NO_CONFIGURATION = Code(9141, "DF141", "no_configuration")
 INTERNAL = Code(1105, "HY000", "internal")
 
+# Errors that another attempt would end with too, or that ask callers to come back
+# later.
+FINAL_CODES = frozenset(
+    {
+        ACCESS_DENIED,
+        KEY_WITHDRAWN,
+        OTHER_WORKSPACE,
+        STATEMENT_REFUSED,
+        SYNTAX,
+        TOO_LARGE,
+        MALFORMED,
+        RATE_EXCEEDED,
+        OVERLOADED,
+    }
+)
+
 
 class DfwError(Exception):
     """The refusal or failure of a request, with its error code and verdict."""
--- a/dragonflywing/platform/callers.py
+++ b/dragonflywing/platform/callers.py
@@ -54,6 +54,10 @@
     return b"".join(encoded)
 
 
+class CallerLeft(Exception):
+    """The caller closed its connection before its answer."""
+
+
 class CallerServer:
     """Accepts callers' connections; each has one session."""
 
@@ -77,12 +81,15 @@
         self.connections.add(conn)
         try:
             await conn.run()
+        except CallerLeft:
+            self.node.metrics.count("caller.left")
         except (TimeoutError, OSError, EOFError):
             pass
         except (lines.MalformedLine, ValueError, asyncio.LimitOverrunError) as exc:
             self.node.metrics.count("refused.malformed_line")
             logs.event("malformed_line", error=str(exc)[:100])
-            writer.write(lines.encode("ERROR", "MALFORMED", "malformed line"))
+            if not writer.is_closing():
+                writer.write(lines.encode("ERROR", "MALFORMED", "malformed line"))
         except Exception as exc:
             supervisor.note_failure("caller", exc, self.node.metrics)
         finally:
@@ -129,15 +136,20 @@
                 version=self.node.directory.version(),
                 age_s=self.node.directory.confirmation_age(),
             )
-            self.writer.write(lines.encode("ERROR", CODES[code], "startup refused"))
+            self._write(lines.encode("ERROR", CODES[code], "startup refused"))
             return
         self.session = session
-        self.writer.write(lines.encode("READY", lines.IDLE, "-"))
+        self._write(lines.encode("READY", lines.IDLE, "-"))
         try:
             await self._serve_statements()
         finally:
             session.roll_back()
 
+    def _write(self, data):
+        if self.writer.is_closing():
+            raise CallerLeft
+        self.writer.write(data)
+
     async def _serve_statements(self):
         self._next_line = asyncio.ensure_future(self._read_line())
         try:
@@ -170,7 +182,7 @@
             self.session.freshness(),
             reply.code or "ok",
         )
-        self.writer.write(encode_reply(reply))
+        self._write(encode_reply(reply))
         self._answering = False
         await self.writer.drain()
         return True
--- a/dragonflywing/platform/settings.py
+++ b/dragonflywing/platform/settings.py
@@ -24,6 +24,7 @@
     duty_url: str  # where promotions are requested; the file's field cloud
     key_withdrawal_s: float  # a withdrawn key is refused after at most this time
     shutdown_s: float  # from SIGTERM to SIGKILL
+    drain_s: float  # a leaving database receives no requests after this time
     lease_min_s: float  # the shortest lease that the store grants
 
 
@@ -69,6 +70,7 @@
         duty_url=f"http://{duty_host}:{duty_port}",
         key_withdrawal_s=_require(document, "bounds.revoke_ms", number) / 1000,
         shutdown_s=_require(document, "bounds.grace_s", number),
+        drain_s=_require(document, "bounds.drain_ms", number) / 1000,
         lease_min_s=_require(document, "platform.ttl_min_ms", number) / 1000,
     )
 
--- a/test/mutations.py
+++ b/test/mutations.py
@@ -62,8 +62,8 @@
     Mutation(
         "fence_without_majority",
         "dragonflywing/decisions/positions.py",
-        "return leader if followers >= majority(size) else None",
-        "return leader",
+        "return primary if followers >= quorum else None",
+        "return primary",
         GROUPS,
     ),
     Mutation(
--- a/test/platform/test_settings.py
+++ b/test/platform/test_settings.py
@@ -15,7 +15,12 @@
     "listen_addrs": {"front": "10.1.0.26:8465", "ready_addr": "10.1.0.26:8460"},
     "port_range": [7560, 7575],
     "heartbeat_ms": 1200,
-    "bounds": {"revoke_ms": 5000, "grace_s": 6, "quota_window_s": 5},
+    "bounds": {
+        "revoke_ms": 5000,
+        "grace_s": 6,
+        "quota_window_s": 5,
+        "drain_ms": 7000,
+    },
     "platform": {"address": "10.200.1.7:8466", "ttl_min_ms": 1000},
     "cloud": {"address": "10.200.0.2:8466"},
     "field of a later version": 1,
@@ -28,6 +33,7 @@
         assert decoded.store_url == "http://10.200.1.7:8466"
         assert (decoded.peer_port, decoded.metrics_port) == (7560, 7575)
         assert decoded.key_withdrawal_s == 5.0
+        assert decoded.drain_s == 7.0
 
     @pytest.mark.parametrize(
         "path,value",
@@ -36,6 +42,7 @@
             ("listen_addrs.front", "nowhere"),
             ("port_range", [1]),
             ("bounds.revoke_ms", "soon"),
+            ("bounds.drain_ms", "soon"),
             ("platform.address", 5),
         ],
     )
