Speak HTTP by h11 on the platform, and cost less while idle

Cause: after a stop of all machines the first answers waited for the start of the processes; nearly half of the import time was aiohttp. An idle instance among 195 spent most of its time on counting silent peers and refilling idle buckets.

Change: http.py, a small client and server on h11 and asyncio's streams; a call that times out closes the idle connections, which may have gone silent too; a GET is repeated once if its kept connection closes. Contacts and idle buckets cost less.

The cheaper idle instances are not measured yet.

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -52,14 +52,15 @@
 class Liveness:
     """The live instances at one moment, and what was derived from them.
 
-    `peers` holds the live other instances and `names` their names. The
-    dictionaries cache the homes of databases, in order, and the relays of data
-    centres.
+    `peers` holds the live other instances, `names` their names and `data_centres`
+    their data centres. The dictionaries cache the homes of databases, in order, and
+    the relays of data centres.
     """
 
     def __init__(self, peers, valid_until):
         self.peers = peers
         self.names = {peer.instance for peer in peers}
+        self.data_centres = {peer.data_centre for peer in peers}
         self.valid_until = valid_until
         self.homes = {}
         self.relays = {}
@@ -214,10 +215,12 @@
         """Return the current Liveness."""
         now = self._now()
         if self._liveness is None or now >= self._liveness.valid_until:
+            is_small = self.is_small()
             peers = [
                 peer
                 for name, peer in self.peers.items()
-                if name not in self.leaving_peers and not self.is_silent(name)
+                if name not in self.leaving_peers
+                and not self._is_silent(name, now, is_small)
             ]
             self._liveness = Liveness(peers, now + LIVENESS_PERIOD_S)
         return self._liveness
@@ -228,15 +231,19 @@
 
     def is_silent(self, instance):
         """Return whether there has been no contact to an instance for too long."""
-        question_age_s = self._now() - self._last_question_at.get(instance, 0.0)
-        is_direct = (
+        return self._is_silent(instance, self._now(), self.is_small())
+
+    def _is_silent(self, instance, now, is_small):
+        silent_s = now - self.last_contact_at.get(instance, 0.0)
+        if silent_s < SILENT_AFTER_S:
+            return False
+        if is_small or silent_s >= RELAYED_SILENT_AFTER_S:
+            return True
+        asked_at = self._last_question_at.get(instance, 0.0)
+        return (
             instance in self._current_partners
-            or question_age_s < RELAYED_SILENT_AFTER_S
-        )
-        limit_s = (
-            SILENT_AFTER_S if is_direct or self.is_small() else RELAYED_SILENT_AFTER_S
+            or now - asked_at < RELAYED_SILENT_AFTER_S
         )
-        return self.silent_s(instance) >= limit_s
 
     def _order(self, subject, data_centre):
         """Return all instances in an order that every instance computes alike.
--- a/dragonflywing/decisions/division.py
+++ b/dragonflywing/decisions/division.py
@@ -30,6 +30,7 @@
 EVEN_FRACTION = 0.2  # of the rate and burst, divided evenly over all instances
 DEMAND_PERIOD_S = 0.25  # period over which arrivals are counted
 DEMAND_WEIGHT = 0.1  # of the latest period, for an average over about 2 s
+IDLE_DEMAND_PER_S = 0.01  # lower demand counts as none
 MIN_DEMAND_PER_S = 0.1  # operations per second; lower demand is not reported
 # Even shares of the burst that an instance may accumulate if its share by demand is
 # smaller.
@@ -258,6 +259,10 @@
         return
     state.measured_at = now
     for name, bucket in state.buckets.items():
+        if not bucket.arrivals and bucket.demand < IDLE_DEMAND_PER_S:
+            # The next operation refills the bucket for all of the idle time.
+            bucket.demand = 0.0
+            continue
         _refill(state, now, name)
         arrivals_per_s = bucket.arrivals / elapsed
         bucket.arrivals = 0
--- a/dragonflywing/exchange.py
+++ b/dragonflywing/exchange.py
@@ -274,7 +274,7 @@
         """Return those of the units that can report now."""
         liveness = self.cluster.liveness()
         reachable = liveness.names | {FLEET}
-        reachable |= {data_centre_unit(peer.data_centre) for peer in liveness.peers}
+        reachable |= {data_centre_unit(name) for name in liveness.data_centres}
         return units & reachable
 
     def _is_complete(self, units):
--- /dev/null
+++ b/dragonflywing/http.py
@@ -0,0 +1,211 @@
+"""A small HTTP/1.1 client and server on h11 and asyncio's streams.
+
+The platform's program uses them instead of aiohttp, whose import takes longer than
+all the rest of a start.
+"""
+
+import asyncio
+import json
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+import h11
+
+from dragonflywing import supervisor
+
+READ_BYTES = 65536
+MAX_IDLE_CONNECTIONS = 4
+SERVER_IDLE_S = 30.0  # how long a client may keep a connection without a request
+
+
+class HttpError(Exception):
+    """A call got no complete answer; it may have been executed."""
+
+
+class Response(NamedTuple):
+    """The status and body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class Timeouts(NamedTuple):
+    """Limits for one call: in all, and for each wait for bytes of the answer."""
+
+    total_s: float
+    silent_s: float
+
+
+class _Connection:
+    """A connection of the client and the state of the protocol on it."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.protocol = h11.Connection(our_role=h11.CLIENT)
+
+    def is_usable(self):
+        return not self.writer.is_closing() and not self.reader.at_eof()
+
+    def send(self, method, target, headers, body):
+        """Write a request."""
+        events = [h11.Request(method=method, target=target, headers=headers)]
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        if self.writer.is_closing():
+            raise ConnectionResetError("closed before a request")
+        self.writer.write(b"".join(self.protocol.send(event) for event in events))
+
+    async def receive(self, silent_s):
+        """Return the Response to the request that was sent."""
+        status, chunks = 0, []
+        while True:
+            event = self.protocol.next_event()
+            if event is h11.NEED_DATA:
+                async with asyncio.timeout(silent_s):
+                    data = await self.reader.read(READ_BYTES)
+                self.protocol.receive_data(data)
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return Response(status, b"".join(chunks))
+            elif not isinstance(event, h11.InformationalResponse):
+                raise ConnectionResetError("closed before the end of an answer")
+
+    def start_next(self):
+        """Prepare for the next request; return whether there may be one."""
+        if self.protocol.our_state is not h11.DONE:
+            return False
+        if self.protocol.their_state is not h11.DONE:
+            return False
+        self.protocol.start_next_cycle()
+        return self.is_usable()
+
+    def close(self):
+        self.writer.close()
+
+
+class HttpClient:
+    """Calls to one server, over connections that are kept open between calls."""
+
+    def __init__(self, host, port):
+        self.host = host
+        self.port = port
+        self._idle = []
+
+    async def call(self, method, path, timeouts, query=None, body=None, headers=()):
+        """Return the Response to a call, or raise HttpError."""
+        target = f"{path}?{urlencode(query)}" if query else path
+        data = b"" if body is None else json.dumps(body).encode()
+        all_headers = [("Host", f"{self.host}:{self.port}"), *headers]
+        if body is not None:
+            all_headers += [
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(data))),
+            ]
+        try:
+            async with asyncio.timeout(timeouts.total_s):
+                conn = self._take_idle()
+                if conn is not None and method == "GET":
+                    try:
+                        return await self._run(
+                            conn, method, target, all_headers, data, timeouts
+                        )
+                    except TimeoutError:
+                        raise
+                    except (OSError, h11.ProtocolError):
+                        # The server may have closed the idle connection just now.
+                        conn = None
+                if conn is None:
+                    conn = await self._open(timeouts.silent_s)
+                return await self._run(
+                    conn, method, target, all_headers, data, timeouts
+                )
+        except TimeoutError:
+            # Other connections may have gone silent too.
+            self.close()
+            raise HttpError("TimeoutError") from None
+        except (OSError, h11.ProtocolError) as exc:
+            raise HttpError(type(exc).__name__) from None
+
+    async def _run(self, conn, method, target, headers, data, timeouts):
+        """Make a call on a connection; keep the connection if it can be used again."""
+        is_reusable = False
+        try:
+            conn.send(method, target, headers, data)
+            resp = await conn.receive(timeouts.silent_s)
+            is_reusable = conn.start_next() and len(self._idle) < MAX_IDLE_CONNECTIONS
+        finally:
+            if not is_reusable:
+                conn.close()
+        if is_reusable:
+            self._idle.append(conn)
+        return resp
+
+    def _take_idle(self):
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.is_usable():
+                return conn
+            conn.close()
+        return None
+
+    async def _open(self, timeout_s):
+        async with asyncio.timeout(timeout_s):
+            return _Connection(*await asyncio.open_connection(self.host, self.port))
+
+    def close(self):
+        """Close the connections that no call uses."""
+        idle, self._idle = self._idle, []
+        for conn in idle:
+            conn.close()
+
+
+async def serve(host, port, path, handle, metrics):
+    """Answer GET requests for one path with (status, body) of `handle()`."""
+
+    async def answer(reader, writer):
+        protocol = h11.Connection(our_role=h11.SERVER)
+        try:
+            async with asyncio.timeout(SERVER_IDLE_S) as idle:
+                while await _answer_one(protocol, reader, writer, path, handle):
+                    idle.reschedule(asyncio.get_running_loop().time() + SERVER_IDLE_S)
+        except (TimeoutError, OSError, h11.ProtocolError):
+            pass
+        except Exception as exc:
+            supervisor.note_failure("http", exc, metrics)
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(answer, host, port)
+
+
+async def _answer_one(protocol, reader, writer, path, handle):
+    """Answer one request; return whether the connection stays open."""
+    request = None
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.EndOfMessage):
+            break
+        elif isinstance(event, h11.ConnectionClosed):
+            return False
+    status, body = 404, b""
+    if request.target.split(b"?")[0] == path.encode():
+        status, body = handle()
+    headers = [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))]
+    events = [h11.Response(status_code=status, headers=headers), h11.Data(data=body)]
+    events.append(h11.EndOfMessage())
+    if writer.is_closing():
+        return False
+    writer.write(b"".join(protocol.send(event) for event in events))
+    if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
+        return False
+    protocol.start_next_cycle()
+    return True
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -299,7 +299,6 @@
             loop.add_signal_handler(number, self.draining.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload, load)
         store = self.ports.store
-        await store.open()
         try:
             async with asyncio.TaskGroup() as tasks:
                 await self._start(tasks)
@@ -314,7 +313,7 @@
             self.links.close()
             self.cluster.close()
             self.groups.close()
-            await store.close()
+            store.close()
             logs.event("stopped", instance=self.settings.instance)
 
     async def _start(self, tasks):
--- a/dragonflywing/platform/probes.py
+++ b/dragonflywing/platform/probes.py
@@ -1,23 +1,17 @@
 """HTTP servers of an instance: the load balancer's ready probe and the metrics."""
 
-from aiohttp import web
+from dragonflywing import http
 
 
 async def start(node, settings):
     """Serve the ready probe and the metrics, each on its own port."""
 
-    async def ready(_request):
-        return web.Response(status=200 if node.is_ready() else 503)
+    def ready():
+        return (200 if node.is_ready() else 503), b""
 
-    async def metrics(_request):
-        return web.Response(text=node.metrics.as_text())
+    def metrics():
+        return 200, node.metrics.as_text().encode()
 
-    for port, path, handler in (
-        (settings.ready_port, "/-/ready", ready),
-        (settings.metrics_port, "/metrics", metrics),
-    ):
-        app = web.Application()
-        app.router.add_get(path, handler)
-        runner = web.AppRunner(app, access_log=None)
-        await runner.setup()
-        await web.TCPSite(runner, settings.host, port).start()
+    host = settings.host
+    await http.serve(host, settings.ready_port, "/-/ready", ready, node.metrics)
+    await http.serve(host, settings.metrics_port, "/metrics", metrics, node.metrics)
--- a/dragonflywing/platform/settings.py
+++ b/dragonflywing/platform/settings.py
@@ -20,8 +20,8 @@
     ready_port: int
     peer_port: int
     metrics_port: int
-    store_url: str
-    duty_url: str  # where promotions are requested; the file's field cloud
+    store_address: tuple  # (host, port)
+    duty_address: tuple  # where promotions are requested; the file's field cloud
     key_withdrawal_s: float  # a withdrawn key is refused after at most this time
     shutdown_s: float  # from SIGTERM to SIGKILL
     drain_s: float  # a leaving database receives no requests after this time
@@ -55,8 +55,6 @@
     ports = _require(document, "port_range", list)
     if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
         raise UserError("field port_range: expected two ports")
-    store_host, store_port = _require_address(document, "platform.address")
-    duty_host, duty_port = _require_address(document, "cloud.address")
     return InstanceSettings(
         instance=_require(document, "node", str),
         data_centre=_require(document, "zone", str),
@@ -66,8 +64,8 @@
         ready_port=ready_port,
         peer_port=ports[0],
         metrics_port=ports[1],
-        store_url=f"http://{store_host}:{store_port}",
-        duty_url=f"http://{duty_host}:{duty_port}",
+        store_address=_require_address(document, "platform.address"),
+        duty_address=_require_address(document, "cloud.address"),
         key_withdrawal_s=_require(document, "bounds.revoke_ms", number) / 1000,
         shutdown_s=_require(document, "bounds.grace_s", number),
         drain_s=_require(document, "bounds.drain_ms", number) / 1000,
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -5,10 +5,9 @@
 import contextlib
 import json
 
-import aiohttp
-
 from dragonflywing.clock import boottime
 from dragonflywing.errors import HistoryLost, StoreError
+from dragonflywing.http import HttpClient, HttpError, Timeouts
 from dragonflywing.ports import StoredItem
 
 CALL_TIMEOUT_S = 1.0  # the store answers in 4 ms, a slow one in about 300 ms
@@ -32,48 +31,35 @@
     return StoredItem(document["key"], data, document["revision"])
 
 
-def _document_timeout(wait_s=0.0):
-    """Return the timeout of a call that the store may hold for `wait_s`."""
-    return aiohttp.ClientTimeout(
-        total=wait_s + DOCUMENT_TIMEOUT_S,
-        sock_connect=CALL_TIMEOUT_S,
-        sock_read=wait_s + SILENT_TIMEOUT_S,
-    )
+CALL_TIMEOUTS = Timeouts(CALL_TIMEOUT_S, CALL_TIMEOUT_S)
+
+
+def _document_timeouts(wait_s=0.0):
+    """Return the timeouts of a call that the store may hold for `wait_s`."""
+    return Timeouts(wait_s + DOCUMENT_TIMEOUT_S, wait_s + SILENT_TIMEOUT_S)
 
 
 class PlatformStore:
     """Client of the store over HTTP."""
 
-    def __init__(self, url, metrics):
-        self.url = url
+    def __init__(self, host, port, metrics):
         self.metrics = metrics
         self.answered_at = None
         self.restored_at = None  # loop time of the first answer after failed calls
         self._is_failing = False
-        self._session = None
-
-    async def open(self):
-        """Open the HTTP session; connections are opened when needed."""
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        connector = aiohttp.TCPConnector(limit=8)
-        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        self._http = HttpClient(host, port)
 
-    async def close(self):
+    def close(self):
         """Close all connections."""
-        await self._session.close()
+        self._http.close()
 
-    async def _call(self, method, path, body=None, timeout=None, **query):
+    async def _call(self, method, path, body=None, timeouts=CALL_TIMEOUTS, **query):
         self.metrics.count("store.calls")
-        timeout = timeout or aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         try:
-            async with self._session.request(
-                method, self.url + path, json=body, params=query, timeout=timeout
-            ) as resp:
-                data = await resp.read()
-                status = resp.status
-        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            status, data = await self._http.call(method, path, timeouts, query, body)
+        except HttpError as exc:
             self._is_failing = True
-            raise StoreError(f"{path}: {type(exc).__name__}", True) from None
+            raise StoreError(f"{path}: {exc}", True) from None
         if status in (429, 503):
             self._is_failing = True
             raise StoreError(f"{path}: status {status}", False)
@@ -90,7 +76,7 @@
         A large value may take several seconds on a slow link.
         """
         status, body = await self._call(
-            "GET", "/-/kv-key", timeout=_document_timeout(), key=key
+            "GET", "/-/kv-key", timeouts=_document_timeouts(), key=key
         )
         with _reject_malformed("key"):
             return (_item(body) if status == 200 else None), body.get("current_rev", 0)
@@ -131,7 +117,7 @@
             prefix=prefix,
             after=after,
             wait_ms=int(wait_s * 1000),
-            timeout=_document_timeout(wait_s),
+            timeouts=_document_timeouts(wait_s),
         )
         if status == 410:
             raise HistoryLost(prefix)
@@ -177,23 +163,23 @@
 
 
 class PromotionClient:
-    """Client of the service that makes a database the primary of its group."""
+    """Requests promotions from the platform."""
 
-    def __init__(self, url, store):
-        self.url = url
-        self.store = store
+    def __init__(self, host, port):
+        self._http = HttpClient(host, port)
 
     async def promote(self, group, database, holder, token, timeout_s):
         """Request a promotion; return the HTTP status."""
-        headers = {"X-Lease-Holder": holder, "X-Fencing-Token": str(token)}
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        headers = [("X-Lease-Holder", holder), ("X-Fencing-Token", str(token))]
+        body = {"service": group, "id": database}
         try:
-            async with self.store._session.post(
-                f"{self.url}/promote",
-                json={"service": group, "id": database},
+            resp = await self._http.call(
+                "POST",
+                "/promote",
+                Timeouts(timeout_s, timeout_s),
+                body=body,
                 headers=headers,
-                timeout=timeout,
-            ) as resp:
-                return resp.status
-        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-            raise StoreError(f"promote: {type(exc).__name__}", True) from None
+            )
+        except HttpError as exc:
+            raise StoreError(f"promote: {exc}", True) from None
+        return resp.status
--- a/dragonflywing/ui/platform_entry.py
+++ b/dragonflywing/ui/platform_entry.py
@@ -26,8 +26,8 @@
 async def serve(cfg):
     """Run one instance until SIGTERM."""
     metrics = Metrics()
-    store = PlatformStore(cfg.store_url, metrics)
-    promotion_client = PromotionClient(cfg.duty_url, store)
+    store = PlatformStore(*cfg.store_address, metrics)
+    promotion_client = PromotionClient(*cfg.duty_address)
     ports = Ports(
         databases=databases,
         store=store,
--- a/test/platform/test_settings.py
+++ b/test/platform/test_settings.py
@@ -30,7 +30,7 @@
 class TestSettings:
     def test_are_decoded(self):
         decoded = settings.decode(VALID_SETTINGS)
-        assert decoded.store_url == "http://10.200.1.7:8466"
+        assert decoded.store_address == ("10.200.1.7", 8466)
         assert (decoded.peer_port, decoded.metrics_port) == (7560, 7575)
         assert decoded.key_withdrawal_s == 5.0
         assert decoded.drain_s == 7.0
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -30,12 +30,11 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
-    store = PlatformStore(f"http://127.0.0.1:{port}", Metrics())
-    await store.open()
+    store = PlatformStore("127.0.0.1", port, Metrics())
     try:
         await CALLS[call](store)
     finally:
-        await store.close()
+        store.close()
         server.close()
 
 
