--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -444,7 +444,12 @@
         self.note_contact(instance)
         self._answered_at[instance] = self._now()
         self.answered.add(instance)
-        await self.apply_answer(instance, question, answer, asked_at)
+        try:
+            await self.apply_answer(instance, question, answer, asked_at)
+        except Exception as exc:
+            # An answer that can't be read raises errors of many types.
+            self.metrics.count("refused.bad_exchange")
+            logs.warn("bad_exchange", instance=instance, error=repr(exc)[:200])
 
     def close(self):
         """Close all connections to other instances."""
--- a/dragonflywing/explain.py
+++ b/dragonflywing/explain.py
@@ -16,7 +16,7 @@
     "replacement_refused",
     "promotion",
     "promoted",
-    "member_gone",
+    "members",
     "store_lost",
     "store_regained",
     "confirm_failed",
--- a/dragonflywing/links.py
+++ b/dragonflywing/links.py
@@ -107,7 +107,7 @@
                 if kind == ANSWER:
                     fut.set_result(body)
                 else:
-                    fut.set_exception(LinkLost(body.decode(), True))
+                    fut.set_exception(LinkLost(body.decode(errors="replace"), True))
         except _CONNECTION_ERRORS:
             pass
         finally:
@@ -192,6 +192,10 @@
                 task.add_done_callback(lambda _, n=number: running.pop(n, None))
         except _CONNECTION_ERRORS:
             pass
+        except Exception as exc:
+            # thriftpy2 raises errors of many types for bytes that are no message.
+            self.metrics.count("link.malformed_frame")
+            logs.warn("link_malformed_frame", error=repr(exc)[:200])
         finally:
             for task in list(running.values()):
                 task.cancel()
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -88,7 +88,7 @@
 
     def _apply_fleet_keys(self, items):
         """Apply changes of the keys that instances write to the store."""
-        changed = []
+        added, gone = [], []
         for item in items:
             if item.key == DUTY_KEY:
                 self.replacer.apply_duty(item)
@@ -96,12 +96,15 @@
                 self.replacer.apply_roster(item)
             elif item.key.startswith(MEMBER_PREFIX):
                 if self.cluster.apply_member(item.key, item.value):
+                    changed = gone if item.value is None else added
                     changed.append(item.key[len(MEMBER_PREFIX) :])
-        if changed:
+        if added or gone:
             logs.event(
                 "members",
-                changed=",".join(changed[:MAX_LOGGED_MEMBERS]),
-                count=len(changed),
+                added=",".join(added[:MAX_LOGGED_MEMBERS]),
+                added_count=len(added),
+                gone=",".join(gone[:MAX_LOGGED_MEMBERS]),
+                gone_count=len(gone),
                 known=len(self.cluster.peers),
             )
 
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -1,11 +1,17 @@
 """Tests of calls between instances over one connection."""
 
 import asyncio
+import gc
+import json
 import socket
+from types import SimpleNamespace
 
 import pytest
 
-from dragonflywing.links import Link, LinkLost, LinkServer
+from dragonflywing.cluster import MEMBER_PREFIX, Cluster
+from dragonflywing.exchange import Exchange
+from dragonflywing.groups import Groups
+from dragonflywing.links import Link, LinkLost, LinkServer, idl
 from dragonflywing.metrics import Metrics
 from test.helper import run
 
@@ -105,3 +111,112 @@
             await asyncio.sleep(0.01)
         assert len(closed) == 1
         server.close()
+
+
+class TestMalformedMessages:
+    """Bytes that are no messages, from a broken or foreign process."""
+
+    FRAMES = [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\xff" * 64,
+        b"\x00\x00\x00\x04" + b"\x00" * 8 + b"\x00" + b"\xff\xfe\xfd\xfc",
+        b"\x00\x00\x00\x03" + b"\x00" * 8 + b"\x09" + b"abc",
+        b"\x00\x00\x00\x00" + b"\x00" * 8 + b"\x00",
+    ]
+
+    def run_quietly(self, check):
+        """Run a coroutine; return the unexpected errors that the loop reports."""
+        reported = []
+
+        async def run_check():
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: reported.append(context))
+            await check()
+            await asyncio.sleep(0.05)
+            gc.collect()
+            await asyncio.sleep(0)
+
+        run(run_check())
+        return reported
+
+    @pytest.mark.parametrize("data", FRAMES)
+    def test_end_only_their_connection_at_the_server(self, data):
+        async def check():
+            async def handle(name, body, origin):
+                return body
+
+            metrics = Metrics()
+            server = LinkServer(handle, lambda origin: None, metrics)
+            await server.start("127.0.0.1", 0)
+            port = server._server.sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(data)
+            writer.write_eof()
+            await asyncio.wait_for(reader.read(), 2)
+            link = Link("127.0.0.1", port)
+            assert await link.call("echo", b"x", 1.0) == b"x"
+            link.close()
+            server.close()
+
+        assert self.run_quietly(check) == []
+
+    @pytest.mark.parametrize("data", FRAMES)
+    def test_fail_only_the_calls_of_their_link(self, data):
+        async def check():
+            async def serve(reader, writer):
+                await reader.read(10)
+                writer.write(data)
+                writer.write_eof()
+                await reader.read()
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            link = Link("127.0.0.1", server.sockets[0].getsockname()[1])
+            with pytest.raises(LinkLost) as exc_info:
+                await link.call("echo", b"x", 1.0)
+            assert exc_info.value.sent
+            link.close()
+            server.close()
+
+        assert self.run_quietly(check) == []
+
+
+class TestMalformedAnswers:
+    """An instance that answers exchanges with bytes that are no answer."""
+
+    @pytest.mark.parametrize("answer", [b"", b"\xff\xfe", b"\x78\x01broken", b"[]"])
+    def test_are_counted(self, answer):
+        metrics = Metrics()
+        reported = []
+
+        async def check():
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: reported.append(context))
+            settings = SimpleNamespace(instance="me", data_centre="here")
+            cluster = Cluster(settings, None, metrics)
+            groups = Groups(None, metrics)
+            directory = SimpleNamespace()
+            exchange = Exchange(settings, groups, cluster, directory, None)
+            cluster.make_question = lambda partner: idl.Exchange(instance="me")
+            cluster.apply_answer = exchange.apply_answer
+
+            async def handle(name, body, origin):
+                return answer
+
+            server = LinkServer(handle, lambda origin: None, metrics)
+            await server.start("127.0.0.1", 0)
+            port = server._server.sockets[0].getsockname()[1]
+            entry = {
+                "data_centre": "here",
+                "host": "127.0.0.1",
+                "port": port,
+                "incarnation": 1,
+            }
+            cluster.apply_member(MEMBER_PREFIX + "other", json.dumps(entry).encode())
+            await cluster._exchange("other")
+            cluster.close()
+            server.close()
+
+        run(check())
+        assert metrics.counters["refused.bad_exchange"] == 1
+        assert reported == []
