Keep a copy of keys whose history is lost; follow the store beside older relays

Both found by reading the change: - While an instance whose watch had lost its history read a new list, it counted as one without a list, so it was not ready and could not take the duty (test_keeps_its_copy_while_a_lost_history_can_not_be_replaced failed first). - In a rolling upgrade a member whose relay is of an earlier build would have waited for changes that such a relay does not pass on (TestRelayOfAnEarlierBuild failed first).

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -32,7 +32,8 @@
 SILENT_AFTER_S = 1.3
 # The same for one known through a relay only; the relay may have to be replaced.
 RELAYED_SILENT_AFTER_S = 3.0
-# An instance that its relay has not answered for this long follows the store itself.
+# An instance to which its relay has passed on nothing for this long follows the store
+# itself.
 SERVED_S = 3.0
 # How long the list of live instances, and what follows from it, is used before it is
 # computed again. A contact from a silent instance ends this at once.
@@ -85,7 +86,7 @@
         self._current_partners = set()  # the partners of the latest round
         self._member_added = asyncio.Event()
         self._last_question_at = {}  # when each instance last sent a question
-        self._answered_at = {}  # when each instance last answered one
+        self._served_at = {}  # when each instance last passed on the store's changes
         self._registered_at = {}  # when each instance's entry was last new
         self.make_question = None
         self.apply_answer = None
@@ -359,10 +360,14 @@
         relay = self.relay(self.settings.data_centre)
         # A relay that was just registered or chosen has some time to answer first.
         since = max(
-            self._answered_at.get(relay, 0.0), self._registered_at.get(relay, 0.0)
+            self._served_at.get(relay, 0.0), self._registered_at.get(relay, 0.0)
         )
         return self._now() - since < SERVED_S
 
+    def note_served(self, instance):
+        """Note that an instance has passed on the store's changes that it knows."""
+        self._served_at[instance] = self._now()
+
     def note_contact(self, instance):
         """Note a contact with an instance."""
         self.last_contact_at[instance] = self._now()
@@ -442,7 +447,6 @@
                 self._close_link(instance)
             return
         self.note_contact(instance)
-        self._answered_at[instance] = self._now()
         self.answered.add(instance)
         try:
             await self.apply_answer(instance, question, answer, asked_at)
--- a/dragonflywing/exchange.py
+++ b/dragonflywing/exchange.py
@@ -213,6 +213,8 @@
                 self.groups.note_floor(view.group, floor)
         if message.summary is not None:
             self._apply_summary(instance, question, message.summary)
+        if message.config_revision is not None:  # earlier builds pass on no keys
+            self.cluster.note_served(instance)
         if message.databases is not None:
             self.directory.entries.apply(unpack_changes(message.databases))
         if message.fleet is not None:
--- a/dragonflywing/following.py
+++ b/dragonflywing/following.py
@@ -38,6 +38,7 @@
         self.metrics = metrics
         self.replica = replicas.Replica()
         self.has_list = False
+        self._must_list = True  # whether changes may have been missed
         self.may_hold = lambda key: True
         self.is_served = lambda: False
         self.batch_s = lambda: 0.0
@@ -48,10 +49,13 @@
     def apply(self, changes):
         """Apply Changes, from the store or from another instance."""
         self.replica.restored_at = self.store.restored_at
+        is_newer = changes.revision >= self.replica.revision
         items = replicas.apply_changes(
             self.replica, self._now(), changes, self.may_hold
         )
-        self.has_list = self.has_list or changes.is_complete
+        if changes.is_complete and is_newer:
+            self.has_list = True
+            self._must_list = False
         if items:
             self.on_items(items)
 
@@ -66,8 +70,8 @@
         failures = 0
         while True:
             try:
-                if not self.has_list:
-                    await self._read_list(may_be_old=failures == 0)
+                if self._must_list:
+                    await self._read_list(may_be_old=not self.has_list and not failures)
                 elif self.is_served():
                     await asyncio.sleep(CHECK_INTERVAL_S)
                 else:
@@ -77,8 +81,7 @@
                 failures = 0
             except HistoryLost:
                 self.metrics.count("store.history_lost")
-                self.has_list = False
-                failures = max(failures, 1)
+                self._must_list = True
             except StoreError as exc:
                 if not failures:
                     logs.event("store_lost", prefix=self.prefix, error=str(exc))
--- /dev/null
+++ b/test/test_following.py
@@ -0,0 +1,146 @@
+"""Tests of following the store's keys, on a simulated clock."""
+
+import asyncio
+from types import SimpleNamespace
+
+from dragonflywing.cluster import MEMBER_PREFIX, Cluster
+from dragonflywing.decisions import replicas
+from dragonflywing.decisions.relays import DIRECT_SIZE
+from dragonflywing.errors import HistoryLost, StoreError
+from dragonflywing.exchange import Exchange
+from dragonflywing.following import Follower
+from dragonflywing.groups import Groups
+from dragonflywing.links import idl, pack
+from dragonflywing.metrics import Metrics
+from dragonflywing.ports import StoredItem
+from test.helper import run_on_simulated_clock
+
+
+class ScriptedStore:
+    """A store whose watches and lists end as scripted, then wait for good."""
+
+    def __init__(self, lists, watches):
+        self.restored_at = None
+        self.lists = lists
+        self.watches = watches
+        self.calls = []
+
+    async def _next(self, call, results):
+        self.calls.append(call)
+        await asyncio.sleep(0.01)
+        if not results:
+            await asyncio.Event().wait()
+        result = results.pop(0)
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+    async def get_prefix(self, prefix, may_be_old=False):
+        return await self._next("old list" if may_be_old else "list", self.lists)
+
+    async def watch(self, prefix, after, wait_s):
+        return await self._next(f"watch {after}", self.watches)
+
+
+def follow(lists, watches, seconds=10.0):
+    """Follow a store for a time; return the follower and the calls."""
+
+    async def check():
+        store = ScriptedStore(lists, watches)
+        follower = Follower(store, "p/", lambda items: None, Metrics())
+        had_list = []
+        task = asyncio.create_task(follower.run())
+        for _ in range(int(seconds * 20)):
+            await asyncio.sleep(0.05)
+            had_list.append(follower.has_list)
+        task.cancel()
+        return follower, store.calls, had_list
+
+    return run_on_simulated_clock(check())
+
+
+ITEM = StoredItem("p/a", b"1", 3)
+
+
+class TestFollower:
+    def test_watches_from_the_newest_key_of_a_list_that_may_be_old(self):
+        # The store may have reached revision 9 after the list was current.
+        _, calls, _ = follow([([ITEM], 9)], [])
+        assert calls == ["old list", "watch 3"]
+
+    def test_reads_a_current_list_if_the_history_is_lost(self):
+        new = StoredItem("p/b", b"1", 8)
+        lists = [([ITEM], 3), ([new], 9)]
+        follower, calls, _ = follow(lists, [HistoryLost("p/")])
+        assert calls == ["old list", "watch 3", "list", "watch 9"]
+        assert set(follower.replica.items) == {"p/b"}
+
+    def test_keeps_its_copy_while_a_lost_history_can_not_be_replaced(self):
+        # An instance that is ready must stay so, as the copy is still good.
+        lists = [([ITEM], 3), *[StoreError("x", False)] * 3, ([ITEM], 9)]
+        _, calls, had_list = follow(lists, [HistoryLost("p/")])
+        assert calls.count("list") == 4
+        assert all(had_list[1:])
+
+    def test_an_older_list_of_another_instance_is_no_replacement(self):
+        async def check():
+            store = ScriptedStore([([ITEM], 3), ([ITEM], 9)], [HistoryLost("p/")])
+            follower = Follower(store, "p/", lambda items: None, Metrics())
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(0.025)
+            follower.apply(replicas.Changes(True, 2, []))
+            await asyncio.sleep(1)
+            task.cancel()
+            return store.calls
+
+        calls = run_on_simulated_clock(check())
+        assert calls == ["old list", "watch 3", "list", "watch 9"]
+
+    def test_resumes_a_watch_that_was_cut(self):
+        _, calls, _ = follow([([ITEM], 3)], [StoreError("x", True)])
+        assert calls == ["old list", "watch 3", "watch 3"]
+
+
+class TestRelayOfAnEarlierBuild:
+    """A rolling upgrade: the relay's answers carry no changes of keys."""
+
+    def _is_served(self, answer):
+        async def check():
+            settings = SimpleNamespace(instance="me", data_centre="here")
+            store = ScriptedStore([], [])
+            cluster = Cluster(settings, store, Metrics())
+            for number in range(DIRECT_SIZE + 2):
+                entry = (
+                    '{"data_centre": "here", "host": "127.0.0.1", "port": 1,'
+                    ' "incarnation": 1}'
+                )
+                cluster.apply_member(f"{MEMBER_PREFIX}i-{number}", entry.encode())
+            exchange = Exchange(
+                settings,
+                Groups(None, Metrics()),
+                cluster,
+                SimpleNamespace(
+                    version=lambda: 1, confirm=lambda *args: None, entries=None
+                ),
+                None,
+            )
+            relay = cluster.relay("here")
+            await asyncio.sleep(4)
+            cluster.note_contact(relay)
+            for name in cluster.peers:
+                cluster.note_contact(name)
+            relay = cluster.relay("here")
+            await exchange.apply_answer(relay, None, pack(answer), 0.0)
+            return relay != "me" and cluster.is_served()
+
+        return run_on_simulated_clock(check())
+
+    def test_does_not_serve(self):
+        answer = idl.Beliefs(config_version=1, config_age=0.1, groups=[])
+        assert not self._is_served(answer)
+
+    def test_a_later_one_serves(self):
+        answer = idl.Beliefs(
+            config_version=1, config_age=0.1, groups=[], config_revision=1
+        )
+        assert self._is_served(answer)
