Ask partners more often until the fleet's rates are known

A report passes a member's relay, the other relays and the members, each exchange up to 0.5 s after the one before, and relays collected registrations for 0.8 s.

Change: for at most 10 s after its start an instance asks its partners every 0.15 s while it awaits the rates, and collects registrations for 0.1 s in its first 2 s.

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -28,6 +28,9 @@
 EXCHANGE_TIMEOUT_S = 0.6
 # Pause while some partner has not answered since it registered, as after a start.
 UNANSWERED_PAUSE_S = 0.1
+# Time between exchanges with a partner while the fleet's rates are not known yet, as
+# after a stop of all instances: reports pass several instances until all know them.
+SETTLING_EXCHANGE_S = 0.15
 # An instance without an exchange for this long is not chosen as a home.
 SILENT_AFTER_S = 1.3
 # The same for one known through a relay only; the relay may have to be replaced.
@@ -90,6 +93,7 @@
         self._registered_at = {}  # when each instance's entry was last new
         self.make_question = None
         self.apply_answer = None
+        self.is_settling = lambda: False  # whether the fleet's rates are awaited
         self.find_floor_partners = set
         self.floor_partners = set()  # the instances whose floors this one uses
         self._order_cache = {}
@@ -412,10 +416,12 @@
         while True:
             now = self._now()
             partners = self._current_partners = self.partners()
+            is_settling = self.is_settling()
+            interval_s = SETTLING_EXCHANGE_S if is_settling else EXCHANGE_S
             for instance in partners:
                 task = running.get(instance)
                 recently_started = (
-                    now - started_at.get(instance, 0.0) < 0.7 * EXCHANGE_S
+                    now - started_at.get(instance, 0.0) < 0.7 * interval_s
                 )
                 if recently_started and instance in self.answered:
                     continue
@@ -423,7 +429,7 @@
                     started_at[instance] = now
                     running[instance] = asyncio.create_task(self._exchange(instance))
             unanswered = partners - self.answered
-            pause = UNANSWERED_PAUSE_S if unanswered else EXCHANGE_S
+            pause = UNANSWERED_PAUSE_S if unanswered else interval_s
             await self._wait_for_member(pause * random.uniform(0.8, 1.2))
 
     async def _wait_for_member(self, pause_s):
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -28,6 +28,9 @@
 # An instance that has started within this time may not know yet that its fleet is
 # large. It relies on the list of databases that it has just read.
 STARTING_S = 2.0
+# How long after the start an instance asks its partners more often while it awaits
+# the fleet's rates.
+SETTLING_S = 10.0
 TICK_INTERVAL_S = 0.1  # for queues, demand and idle connections
 # Pause after SIGTERM: the balancer takes two failed probes, one a second, to notice.
 BALANCER_NOTICE_S = 2.2
@@ -62,6 +65,7 @@
         self.cluster.apply_answer = self.exchange.apply_answer
         self.cluster.find_floor_partners = self._floor_partners
         self.exchange.is_home_in = self._is_home_in
+        self.cluster.is_settling = self._is_settling
         self.cluster.keys.on_items = self._apply_fleet_keys
         self.cluster.keys.may_hold = lambda key: key.startswith(MEMBER_PREFIX)
         self.cluster.keys.batch_s = self._member_batch_s
@@ -140,9 +144,12 @@
         return self.now() - self._started_at
 
     def _member_batch_s(self):
-        if not self.cluster.is_small():
-            return MEMBER_BATCH_S
-        return START_BATCH_S if self._age_s() < STARTING_S else 0.0
+        if self._age_s() < STARTING_S:
+            return START_BATCH_S
+        return 0.0 if self.cluster.is_small() else MEMBER_BATCH_S
+
+    def _is_settling(self):
+        return self._age_s() < SETTLING_S and not self.division.reports_complete
 
     def _is_served_databases(self):
         return self._age_s() < STARTING_S or self.cluster.is_served()
--- a/test/test_following.py
+++ b/test/test_following.py
@@ -150,3 +150,40 @@
             config_version=1, config_age=0.1, groups=[], config_revision=1
         )
         assert self._is_served(answer)
+
+
+class TestSettling:
+    """After a stop of all instances, reports pass several instances."""
+
+    def _count_exchanges(self, is_settling):
+        async def check():
+            settings = SimpleNamespace(instance="me", data_centre="here")
+            cluster = Cluster(settings, ScriptedStore([], []), Metrics())
+            cluster.is_settling = lambda: is_settling
+            asked = []
+
+            async def call(instance, *args):
+                asked.append(instance)
+                await asyncio.sleep(0.01)
+                return b""
+
+            async def apply_answer(*args):
+                pass
+
+            cluster.call = call
+            cluster.make_question = lambda partner: idl.Exchange(instance="me")
+            cluster.apply_answer = apply_answer
+            entry = '{"data_centre": "here", "host": "h", "port": 1, "incarnation": 1}'
+            cluster.apply_member(f"{MEMBER_PREFIX}other", entry.encode())
+            task = asyncio.create_task(cluster.exchange())
+            await asyncio.sleep(3)
+            task.cancel()
+            return len(asked)
+
+        return run_on_simulated_clock(check())
+
+    def test_asks_often_until_the_rates_are_known(self):
+        assert self._count_exchanges(True) >= 3 / 0.2
+
+    def test_asks_twice_a_second_afterwards(self):
+        assert self._count_exchanges(False) <= 3 / 0.4 + 1
