Log the store's era, rejected lists and what a confirmation rests on

The logs could not tell a confirmation by a revision of a lost history from a rejected list or a version that the store had lost. Now they name the era of the store's answers, lists older than the copy, older versions, and the revision of a confirmation.

--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -83,8 +83,17 @@
             self.metrics.count("refused.bad_configuration")
             logs.warn("bad_configuration", source=source, error=str(exc))
             return False
-        if cfg.version <= self.version():
-            return cfg.version == self.version()
+        if cfg.version < self.version():
+            self.metrics.count("configuration.older")
+            logs.event(
+                "older_configuration",
+                version=cfg.version,
+                in_force=self.version(),
+                source=source,
+            )
+            return False
+        if cfg.version == self.version():
+            return True
         self.cfg = cfg
         self._compressed = zlib.compress(data, COMPRESSION_LEVEL)
         self.groups.specs = cfg.groups
@@ -101,6 +110,8 @@
         if version != self.version() or self.cfg is None:
             return
         if self.confirmed_at is None or asked_at > self.confirmed_at:
+            if self.confirmation_age() > CONFIRM_STALE_AFTER_S:
+                logs.event("confirmed_again", version=version, revision=revision)
             self.confirmed_at = asked_at
         self.confirmed_revision = max(self.confirmed_revision, revision or 0)
 
@@ -156,6 +167,9 @@
                 item = next((x for x in reversed(items) if x.key == key), None)
             except HistoryLost:
                 self.metrics.count("store.history_lost")
+                logs.event(
+                    "confirmation_history_lost", revision=self.confirmed_revision
+                )
                 item, revision = await store.get(key)
             except StoreError as exc:
                 if not exc.may_have_run:
--- a/dragonflywing/following.py
+++ b/dragonflywing/following.py
@@ -56,6 +56,14 @@
         if changes.is_complete and is_newer:
             self.has_list = True
             self._must_list = False
+        if changes.is_complete and not is_newer:
+            self.metrics.count("store.list_rejected")
+            logs.event(
+                "list_rejected",
+                prefix=self.prefix,
+                revision=changes.revision,
+                known=self.replica.revision,
+            )
         if items:
             self.on_items(items)
 
--- a/dragonflywing/gauges.py
+++ b/dragonflywing/gauges.py
@@ -57,6 +57,12 @@
             (),
             unlabelled(store_age),
         ),
+        Gauge(
+            "store_era",
+            "Rises each time the store comes back from an older copy.",
+            (),
+            unlabelled(lambda: node.ports.store.era),
+        ),
         Gauge("ready", "Whether callers are taken.", (), unlabelled(node.is_ready)),
         Gauge(
             "peers",
--- a/dragonflywing/http.py
+++ b/dragonflywing/http.py
@@ -23,10 +23,11 @@
 
 
 class Response(NamedTuple):
-    """The status and body of an answer."""
+    """The status, body and headers of an answer; names of headers are lower case."""
 
     status: int
     body: bytes
+    headers: dict = {}
 
 
 class Timeouts(NamedTuple):
@@ -59,7 +60,7 @@
 
     async def receive(self, silent_s):
         """Return the Response to the request that was sent."""
-        status, chunks = 0, []
+        status, headers, chunks = 0, {}, []
         while True:
             event = self.protocol.next_event()
             if event is h11.NEED_DATA:
@@ -68,10 +69,11 @@
                 self.protocol.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                headers = {k.decode(): v.decode() for k, v in event.headers}
             elif isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return Response(status, b"".join(chunks))
+                return Response(status, b"".join(chunks), headers)
             elif not isinstance(event, h11.InformationalResponse):
                 raise ConnectionResetError("closed before the end of an answer")
 
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 
+from dragonflywing import logs
 from dragonflywing.clock import boottime
 from dragonflywing.errors import HistoryLost, StoreError
 from dragonflywing.http import HttpClient, HttpError, Timeouts
@@ -18,6 +19,9 @@
 # holds such watches too.
 UNHELD_WATCH_TIMEOUT_S = 0.4
 
+# Rises by one each time the store comes back from an older copy.
+ERA_HEADER = "store-era"
+
 
 @contextlib.contextmanager
 def _reject_malformed(call):
@@ -49,6 +53,7 @@
         self.metrics = metrics
         self.answered_at = None
         self.restored_at = None  # loop time of the first answer after failed calls
+        self.era = 0
         self._is_failing = False
         self._http = HttpClient(host, port)
 
@@ -59,10 +64,11 @@
     async def _call(self, method, path, body=None, timeouts=CALL_TIMEOUTS, **query):
         self.metrics.count("store.calls")
         try:
-            status, data = await self._http.call(method, path, timeouts, query, body)
+            resp = await self._http.call(method, path, timeouts, query, body)
         except HttpError as exc:
             self._is_failing = True
             raise StoreError(f"{path}: {exc}", True) from None
+        status, data = resp.status, resp.body
         if status in (429, 503):
             self._is_failing = True
             raise StoreError(f"{path}: status {status}", False)
@@ -71,8 +77,16 @@
             self._is_failing = False
             self.restored_at = asyncio.get_running_loop().time()
         with _reject_malformed(path):
+            self._note_era(int(resp.headers.get(ERA_HEADER, 0)))
             return status, json.loads(data) if data else {}
 
+    def _note_era(self, era):
+        """Note the era of an answer."""
+        if era > self.era:
+            self.metrics.count("store.era_changed")
+            logs.event("store_era", era=era, was=self.era)
+            self.era = era
+
     async def get(self, key):
         """Return a key's Item (None if absent) and the store's revision.
 
