--- a/dragonflywing/standin/platform_store.py
+++ b/dragonflywing/standin/platform_store.py
@@ -2,13 +2,25 @@
 
 import asyncio
 import base64
+import copy
 import json
 from collections import Counter
+from typing import NamedTuple
 
 from aiohttp import web
 
 EXPIRY_INTERVAL_S = 0.05
 SLOW_CHUNK_BYTES = 8192  # bytes sent at once over a slow link
+ERA_HEADER = "Store-Era"
+
+
+class Backup(NamedTuple):
+    """A copy of the store's state."""
+
+    revision: int
+    items: dict
+    leases: dict
+    history: list
 
 
 class PlatformState:
@@ -17,10 +29,12 @@
     `leases` maps an id to (duration in seconds, end); `promote(group, database)`
     returns an HTTP status; `promotions` holds (holder, token, group, database).
     Watches hear nothing while `is_deaf`. `calls` counts the calls by path. All
-    answers share a link of `bytes_per_s`, if it is set.
+    answers share a link of `bytes_per_s`, if it is set. `era` rises by one each
+    time the store comes back from a Backup.
     """
 
     def __init__(self, promote):
+        self.era = 1
         self.revision = 1
         self.items = {}
         self.leases = {}
@@ -36,7 +50,8 @@
 
     async def send_slowly(self, req, resp):
         """Send a response over the slow link; return it."""
-        body, resp = resp.body, web.StreamResponse(status=resp.status)
+        body = resp.body
+        resp = web.StreamResponse(status=resp.status, headers=resp.headers)
         resp.content_length = len(body)
         await resp.prepare(req)
         for start in range(0, len(body), SLOW_CHUNK_BYTES):
@@ -47,6 +62,21 @@
         await resp.write_eof()
         return resp
 
+    def back_up(self):
+        """Return a Backup of the present state."""
+        return copy.deepcopy(
+            Backup(self.revision, self.items, self.leases, self.history)
+        )
+
+    def restore(self, backup):
+        """Come back with the state of a Backup; what was written since is gone."""
+        state = copy.deepcopy(backup)
+        self.revision, self.items = state.revision, state.items
+        self.leases, self.history = state.leases, state.history
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def put(self, key, value, lease=0):
         """Write a key; return the revision."""
         self.revision += 1
@@ -110,10 +140,14 @@
 
 
 async def _watch(state, req):
-    prefix, after = req.query["prefix"], int(req.query["after"])
+    prefix, after, era = req.query["prefix"], int(req.query["after"]), state.era
     deadline = asyncio.get_running_loop().time() + int(req.query["wait_ms"]) / 1000
     while True:
         changed = state.changed
+        if state.era != era:
+            req.transport.close()  # a store that goes away cuts its watches
+        if after > state.revision:
+            return web.json_response({}, status=410)
         events = [
             event
             for event in state.history
@@ -197,6 +231,7 @@
                 return web.json_response({}, status=503)
             state.calls[req.match_info.route.resource.canonical] += 1
             resp = await handle(state, req)
+            resp.headers[ERA_HEADER] = str(state.era)
             return await state.send_slowly(req, resp) if state.bytes_per_s else resp
 
         return handle_if_up
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -1,6 +1,7 @@
 """A deployment on the stand-in platform, with entry instances as processes."""
 
 import asyncio
+import base64
 import contextlib
 import json
 import os
@@ -170,6 +171,10 @@
         }
         self.platform.put("op/config", platform_store.encode(document))
 
+    def put_document(self, value):
+        """Write a configuration as base64 text, as the operator writes it again."""
+        self.platform.put("op/config", base64.b64decode(value))
+
     async def start_instance(self, name, data_centre):
         """Start an entry instance as a process."""
         if name not in self._ports:
