Tell the store's eras apart in every revision

What callers saw: after the store came back from an older copy, keys were refused until its revision had passed the one confirmed before; from then on a new version of the configuration was never in force, and removed routes were served.

Cause: revisions were kept as numbers, though they mean something only within one history of the store. A confirmation asked for the changes since a number that the store gave out again, so 'no changes' confirmed an older version. A copy of keys took a lower number for older data, rejected every list and read the next one at once.

A revision is now a pair of era and number that compares in this order, so nothing of an earlier era equals or exceeds what the store gives out later: watches and conditions on an earlier era fail, copies take over a later era whatever its number, and instances exchange both parts. A list that is older than the copy, or a history that is lost again after each list, leads to a pause.

--- a/dragonflywing/decisions/replicas.py
+++ b/dragonflywing/decisions/replicas.py
@@ -7,11 +7,14 @@
 
 While the store is away, leases may end although their holders live. Keys that were
 removed during an outage are kept for a short time after its end, in which their
-holders write them again.
+holders write them again. The same applies to keys that are missing after the store
+came back from an older copy.
 """
 
 from typing import Any, NamedTuple
 
+from dragonflywing.decisions import eras
+
 # How long deletions are kept for instances that fell behind.
 DELETIONS_KEPT_S = 20.0
 # How long after an outage removed keys are kept. The holders of leases that ended
@@ -26,7 +29,7 @@
     """
 
     is_complete: bool
-    revision: int
+    revision: eras.Revision
     items: list
 
 
@@ -47,9 +50,9 @@
 
     def __init__(self):
         self.items = {}
-        self.revision = 0
+        self.revision = eras.ABSENT
         self.deletions = {}
-        self.known_since = 0
+        self.known_since = eras.ABSENT
         self.held = {}
         self.restored_at = None
 
@@ -65,12 +68,20 @@
     items = list(changes.items)
     if changes.is_complete:
         items += _missing(state, changes)
-        if not state.revision:
+        if state.revision == eras.ABSENT:
             state.known_since = changes.revision
+        elif changes.revision.era > state.revision.era:
+            note_restored(state, now)
     state.revision = changes.revision
     return [item for item in items if _apply(state, now, item, may_hold)]
 
 
+def note_restored(state, at):
+    """Note that the store was back at a time, after an outage or from a copy."""
+    if at is not None and (state.restored_at is None or at > state.restored_at):
+        state.restored_at = at
+
+
 def _missing(state, changes):
     """Return deletions of the keys that a complete list lacks."""
     present = {item.key for item in changes.items}
@@ -122,11 +133,12 @@
 def changes_since(state, revision):
     """Return the Changes for a copy of a given revision, None if there are none."""
     # A deletion that is held back must still count as new when it takes effect.
-    held = [removal.item.revision - 1 for removal in state.held.values()]
+    held = [eras.before(removal.item.revision) for removal in state.held.values()]
     passed_on = min([state.revision, *held])
     if revision >= state.revision:
         return None
-    if revision < state.known_since:
+    # Of a copy of an earlier era it is unknown which of its keys are gone.
+    if revision < state.known_since or revision.era < state.revision.era:
         return Changes(True, passed_on, list(state.items.values()))
     items = [item for item in state.items.values() if item.revision > revision]
     removed = [removal.item for removal in state.deletions.values()]
--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -12,6 +12,7 @@
 
 from dragonflywing import logs
 from dragonflywing.clock import boottime
+from dragonflywing.decisions.eras import ABSENT
 from dragonflywing.decisions.relays import Role
 from dragonflywing.errors import HistoryLost, StoreError, UserError
 from dragonflywing.following import Follower
@@ -45,7 +46,7 @@
         self.metrics = metrics
         self.cfg = None
         self.confirmed_at = None
-        self.confirmed_revision = 0
+        self.confirmed_revision = ABSENT
         self.entries = Follower(
             ports.store, ports.database_prefix, self._apply_entries, metrics
         )
@@ -105,7 +106,7 @@
     def confirm(self, version, asked_at, revision):
         """Note that `version` was the latest one at `asked_at`.
 
-        `revision` is one of the store at which it was the latest, 0 if unknown.
+        `revision` is one of the store at which it was the latest, ABSENT if unknown.
         """
         if version != self.version() or self.cfg is None:
             return
@@ -113,7 +114,7 @@
             if self.confirmation_age() > CONFIRM_STALE_AFTER_S:
                 logs.event("confirmed_again", version=version, revision=revision)
             self.confirmed_at = asked_at
-        self.confirmed_revision = max(self.confirmed_revision, revision or 0)
+        self.confirmed_revision = max(self.confirmed_revision, revision)
 
     async def keep_confirmed(self):
         """Confirm the configuration with the store when needed, until cancelled."""
@@ -159,7 +160,7 @@
         asked_at = boottime()
         key, store = self.ports.configuration_key, self.ports.store
         item = None
-        if self.cfg is None or not self.confirmed_revision:
+        if self.cfg is None or self.confirmed_revision == ABSENT:
             item, revision = await store.get(key)
         else:
             try:
@@ -235,5 +236,7 @@
     def document(self):
         """Return the configuration for another instance."""
         return pack(
-            idl.Document(revision=self.confirmed_revision, compressed=self._compressed)
+            idl.Document(
+                revision=self.confirmed_revision.number, compressed=self._compressed
+            )
         )
--- a/dragonflywing/exchange.py
+++ b/dragonflywing/exchange.py
@@ -9,6 +9,7 @@
 from dragonflywing import logs
 from dragonflywing.clock import boottime
 from dragonflywing.decisions import division, floors, replicas
+from dragonflywing.decisions.eras import ABSENT, Revision
 from dragonflywing.decisions.positions import Position
 from dragonflywing.decisions.relays import Role
 from dragonflywing.links import idl, pack, unpack
@@ -35,13 +36,17 @@
         idl.StoredKey(
             key=item.key,
             value=item.value or b"",
-            revision=item.revision,
+            revision=item.revision.number,
             deleted=item.value is None,
+            era=item.revision.era,
         )
         for item in changes.items
     ]
     return idl.KeyChanges(
-        complete=changes.is_complete, revision=changes.revision, items=items
+        complete=changes.is_complete,
+        revision=changes.revision.number,
+        items=items,
+        era=changes.revision.era,
     )
 
 
@@ -52,8 +57,10 @@
         # thriftpy2 decodes binary fields that hold UTF-8 as text.
         value = item.value if isinstance(item.value, bytes) else item.value.encode()
         value = None if item.deleted else value
-        items.append(StoredItem(item.key, value, item.revision))
-    return replicas.Changes(message.complete, message.revision, items)
+        revision = Revision(item.era, item.revision)
+        items.append(StoredItem(item.key, value, revision))
+    revision = Revision(message.era, message.revision)
+    return replicas.Changes(message.complete, revision, items)
 
 
 class Exchange:
@@ -104,18 +111,22 @@
         if self._digests.get(partner) != digest:
             groups = [self._view(x, None) for x in self.groups.groups.values()]
         peer = self.cluster.peers.get(partner)
+        databases = self.directory.entries.replica.revision
+        fleet = self.cluster.keys.replica.revision
         return idl.Exchange(
             instance=self.settings.instance,
             leaving=self.cluster.leaving,
             demand=demand,
             admitted=admitted,
             config_version=self.directory.version(),
-            database_revision=self.directory.entries.replica.revision,
+            database_revision=databases.number,
             groups=groups,
-            fleet_revision=self.cluster.keys.replica.revision,
+            fleet_revision=fleet.number,
             primaries_digest=digest,
             floors=partner in self.cluster.floor_partners,
             compress=bool(peer) and peer.data_centre != self.settings.data_centre,
+            database_era=databases.era,
+            fleet_era=fleet.era,
         )
 
     def _divides_rates(self, partner):
@@ -130,6 +141,8 @@
         message = unpack(idl.Exchange, body)
         self._apply_question(message)
         digest = self._primaries_digest()
+        entries, keys = self.directory.entries, self.cluster.keys
+        confirmed = self.directory.confirmed_revision
         answer = pack(
             idl.Beliefs(
                 config_version=self.directory.version(),
@@ -138,10 +151,11 @@
                 groups=self._views_for(message, digest),
                 summary=self._summary(message.instance),
                 databases=self._changes(
-                    self.directory.entries, message.database_revision
+                    entries, message.database_era, message.database_revision
                 ),
-                fleet=self._changes(self.cluster.keys, message.fleet_revision),
-                config_revision=self.directory.confirmed_revision,
+                fleet=self._changes(keys, message.fleet_era, message.fleet_revision),
+                config_revision=confirmed.number,
+                config_era=confirmed.era,
                 primaries_digest=digest,
             )
         )
@@ -164,11 +178,14 @@
                 views.append(self._view(state, floor))
         return views
 
-    def _changes(self, follower, revision):
+    def _changes(self, follower, era, number):
         """Return what another instance's copy lacks, None if it lacks nothing."""
-        if revision is None:
+        if number is None:
             return None  # the question of an earlier build
-        return pack_changes(replicas.changes_since(follower.replica, revision))
+        if era is None:  # that of a build which did not tell eras apart
+            era = follower.replica.revision.era
+        changes = replicas.changes_since(follower.replica, Revision(era, number))
+        return pack_changes(changes)
 
     def _apply_question(self, message):
         """Apply the state that another instance sent with its question."""
@@ -213,18 +230,20 @@
                 self.groups.note_floor(view.group, floor)
         if message.summary is not None:
             self._apply_summary(instance, question, message.summary)
-        if message.config_revision is not None:  # earlier builds pass on no keys
+        confirmed = ABSENT
+        if message.config_era is not None:  # earlier builds do not tell eras apart
+            confirmed = Revision(message.config_era, message.config_revision)
             self.cluster.note_served(instance)
-        if message.databases is not None:
-            self.directory.entries.apply(unpack_changes(message.databases))
-        if message.fleet is not None:
-            self.cluster.keys.apply(unpack_changes(message.fleet))
+            if message.databases is not None:
+                self.directory.entries.apply(unpack_changes(message.databases))
+            if message.fleet is not None:
+                self.cluster.keys.apply(unpack_changes(message.fleet))
         if message.config_version > self.directory.version():
             await self.directory.fetch(instance)
         self.directory.confirm(
             message.config_version,
             asked_at - message.config_age,
-            message.config_revision,
+            confirmed,
         )
 
     def _apply_summary(self, instance, question, summary):
--- a/dragonflywing/following.py
+++ b/dragonflywing/following.py
@@ -4,7 +4,7 @@
 import random
 
 from dragonflywing import logs
-from dragonflywing.decisions import replicas
+from dragonflywing.decisions import eras, replicas
 from dragonflywing.errors import HistoryLost, StoreError
 
 WATCH_S = 25.0  # the store allows up to 30 s; each watch counts as a call
@@ -48,7 +48,7 @@
 
     def apply(self, changes):
         """Apply Changes, from the store or from another instance."""
-        self.replica.restored_at = self.store.restored_at
+        replicas.note_restored(self.replica, self.store.restored_at)
         is_newer = changes.revision >= self.replica.revision
         items = replicas.apply_changes(
             self.replica, self._now(), changes, self.may_hold
@@ -75,7 +75,7 @@
 
     async def run(self):
         """Follow the keys until cancelled."""
-        failures = 0
+        failures, has_watched = 0, False
         while True:
             try:
                 if self._must_list:
@@ -84,12 +84,16 @@
                     await asyncio.sleep(CHECK_INTERVAL_S)
                 else:
                     await self._watch()
+                    has_watched = True
                 if failures:
                     logs.event("store_regained", prefix=self.prefix)
                 failures = 0
             except HistoryLost:
                 self.metrics.count("store.history_lost")
                 self._must_list = True
+                if not has_watched:
+                    await asyncio.sleep(retry_pause_s(1))
+                has_watched = False
             except StoreError as exc:
                 if not failures:
                     logs.event("store_lost", prefix=self.prefix, error=str(exc))
@@ -101,8 +105,10 @@
         items, revision = await self.store.get_prefix(self.prefix, may_be_old)
         if may_be_old:
             # The list may be older than the revision that the store has reached.
-            revision = max([item.revision for item in items], default=0)
+            revision = max([item.revision for item in items], default=eras.ABSENT)
         self.apply(replicas.Changes(True, revision, items))
+        if self._must_list:
+            raise StoreError(f"list {self.prefix}: older than the copy", False)
 
     async def _watch(self):
         items, revision = await self.store.watch(
--- a/dragonflywing/link.thrift
+++ b/dragonflywing/link.thrift
@@ -53,6 +53,9 @@
   9: i64 primaries_digest,          // of the known primaries of all groups
   10: bool floors,                  // whether the asker uses floors
   11: bool compress,                // whether to compress the answer by zlib
+  // The eras of the revisions; earlier builds send none.
+  12: i64 database_era,
+  13: i64 fleet_era,
 }
 
 // A key of the store as of its last change.
@@ -61,6 +64,7 @@
   2: binary value,
   3: i64 revision,
   4: bool deleted,
+  5: i64 era,                       // of the revision
 }
 
 // What changed in a copy of the store's keys since the asker's revision; all keys if
@@ -69,6 +73,7 @@
   1: bool complete,
   2: i64 revision,
   3: list<StoredKey> items,
+  4: i64 era,                       // of the revision
 }
 
 // A relay's summary: of its data centre for other relays, of the whole fleet for the
@@ -93,6 +98,7 @@
   7: optional KeyChanges fleet,
   8: i64 config_revision,           // of the store, at which the version was newest
   9: i64 primaries_digest,
+  10: i64 config_era,               // of config_revision; earlier builds send none
 }
 
 // A configuration as the operator wrote it.
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -4,9 +4,11 @@
 import base64
 import contextlib
 import json
+from typing import NamedTuple
 
 from dragonflywing import logs
 from dragonflywing.clock import boottime
+from dragonflywing.decisions.eras import ABSENT, Revision
 from dragonflywing.errors import HistoryLost, StoreError
 from dragonflywing.http import HttpClient, HttpError, Timeouts
 from dragonflywing.ports import StoredItem
@@ -32,10 +34,10 @@
         raise StoreError(f"{call}: malformed answer: {exc!r}", True) from None
 
 
-def _item(document):
+def _item(document, era):
     value = document.get("value")
     data = None if document.get("tombstone") else base64.b64decode(value or "")
-    return StoredItem(document["key"], data, document["revision"])
+    return StoredItem(document["key"], data, Revision(era, document["revision"]))
 
 
 CALL_TIMEOUTS = Timeouts(CALL_TIMEOUT_S, CALL_TIMEOUT_S)
@@ -46,8 +48,20 @@
     return Timeouts(silent_s + DOCUMENT_TIMEOUT_S, silent_s)
 
 
+class _Answer(NamedTuple):
+    """The status and body of the store's answer, and the era that it is of."""
+
+    status: int
+    body: dict
+    era: int
+
+
 class PlatformStore:
-    """Client of the store over HTTP."""
+    """Client of the store over HTTP.
+
+    `era` is the store's latest one that is known. Watches from a revision of an
+    earlier era end at once with HistoryLost, and conditions on one don't hold.
+    """
 
     def __init__(self, host, port, metrics):
         self.metrics = metrics
@@ -55,6 +69,7 @@
         self.restored_at = None  # loop time of the first answer after failed calls
         self.era = 0
         self._is_failing = False
+        self._watch_timeouts = set()  # one for each watch that is waiting
         self._http = HttpClient(host, port)
 
     def close(self):
@@ -68,35 +83,41 @@
         except HttpError as exc:
             self._is_failing = True
             raise StoreError(f"{path}: {exc}", True) from None
-        status, data = resp.status, resp.body
-        if status in (429, 503):
+        if resp.status in (429, 503):
             self._is_failing = True
-            raise StoreError(f"{path}: status {status}", False)
+            raise StoreError(f"{path}: status {resp.status}", False)
         self.answered_at = boottime()
         if self._is_failing:
             self._is_failing = False
             self.restored_at = asyncio.get_running_loop().time()
         with _reject_malformed(path):
-            self._note_era(int(resp.headers.get(ERA_HEADER, 0)))
-            return status, json.loads(data) if data else {}
+            era = int(resp.headers.get(ERA_HEADER, 0))
+            body = json.loads(resp.body) if resp.body else {}
+        self._note_era(era)
+        return _Answer(resp.status, body, era)
 
     def _note_era(self, era):
         """Note the era of an answer."""
-        if era > self.era:
-            self.metrics.count("store.era_changed")
-            logs.event("store_era", era=era, was=self.era)
-            self.era = era
+        if era <= self.era:
+            return
+        self.metrics.count("store.era_changed")
+        logs.event("store_era", era=era, was=self.era)
+        self.era = era
+        now = asyncio.get_running_loop().time()
+        while self._watch_timeouts:
+            self._watch_timeouts.pop().reschedule(now)
 
     async def get(self, key):
         """Return a key's Item (None if absent) and the store's revision.
 
         A large value may take several seconds on a slow link.
         """
-        status, body = await self._call(
+        status, body, era = await self._call(
             "GET", "/-/kv-key", timeouts=_document_timeouts(), key=key
         )
         with _reject_malformed("key"):
-            return (_item(body) if status == 200 else None), body.get("current_rev", 0)
+            item = _item(body, era) if status == 200 else None
+            return item, Revision(era, body.get("current_rev", 0))
 
     async def get_prefix(self, prefix, may_be_old=False):
         """Return all Items under a prefix and the revision to watch from.
@@ -110,14 +131,17 @@
                 query["serializable"] = 1
             if after:
                 query["after"] = after
-            status, body = await self._call("GET", "/-/kv-range", **query)
+            status, body, era = await self._call("GET", "/-/kv-range", **query)
             if status != 200:
                 raise StoreError(f"range {prefix}: status {status}", False)
             with _reject_malformed(f"range {prefix}"):
-                items += [_item(document) for document in body["items"]]
+                items += [_item(document, era) for document in body["items"]]
                 # Pages are not one snapshot, so the watch starts at the revision of
                 # the first page.
-                revision = body["current_rev"] if revision is None else revision
+                if revision is None:
+                    revision = Revision(era, body["current_rev"])
+                if era != revision.era:
+                    raise HistoryLost(prefix)
                 if not body.get("has_more"):
                     return items, revision
                 after = items[-1].key
@@ -129,38 +153,57 @@
         large value may take several seconds on a slow link.
         """
         silent_s = wait_s + SILENT_TIMEOUT_S if wait_s else UNHELD_WATCH_TIMEOUT_S
-        status, body = await self._call(
-            "GET",
-            "/-/kv-watch",
-            prefix=prefix,
-            after=after,
-            wait_ms=int(wait_s * 1000),
-            timeouts=_document_timeouts(silent_s),
-        )
-        if status == 410:
+        if after.era < self.era:
+            raise HistoryLost(prefix)
+        try:
+            async with asyncio.timeout(None) as timeout:
+                self._watch_timeouts.add(timeout)
+                status, body, era = await self._call(
+                    "GET",
+                    "/-/kv-watch",
+                    prefix=prefix,
+                    after=after.number,
+                    wait_ms=int(wait_s * 1000),
+                    timeouts=_document_timeouts(silent_s),
+                )
+        except TimeoutError:
+            raise HistoryLost(prefix) from None
+        finally:
+            self._watch_timeouts.discard(timeout)
+        # The store compares only numbers, so it may have answered for another era.
+        if status == 410 or era != after.era:
             raise HistoryLost(prefix)
         if status != 200:
             raise StoreError(f"watch {prefix}: status {status}", False)
         with _reject_malformed(f"watch {prefix}"):
-            return [_item(event) for event in body["events"]], body["current_rev"]
+            items = [_item(event, era) for event in body["events"]]
+            return items, Revision(era, body["current_rev"])
 
     async def swap(self, key, value, revision, lease=0):
         """Write a key if its revision is `revision`; None writes it in any case.
 
         Return the new revision, or None if the revision differs or the lease ended.
         """
+        is_conditional = revision not in (None, ABSENT)
+        if is_conditional and revision.era < self.era:
+            return None
         put = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
-        expect = [] if revision is None else [{"key": key, "revision": revision}]
+        expect = []
+        if revision is not None:
+            expect = [{"key": key, "revision": revision.number}]
         body = {"expect": expect, "puts": [put], "deletes": []}
-        status, answer = await self._call("POST", "/-/kv-txn", body)
+        status, answer, era = await self._call("POST", "/-/kv-txn", body)
         if status not in (200, 412, 404):
             raise StoreError(f"txn: status {status}", False)
+        if status == 200 and is_conditional and era != revision.era:
+            # The condition held for another revision of the same number.
+            raise StoreError("txn: the store came back from an older copy", True)
         with _reject_malformed("txn"):
-            return answer["revision"] if status == 200 else None
+            return Revision(era, answer["revision"]) if status == 200 else None
 
     async def grant_lease(self, seconds):
         """Return the id of a new lease."""
-        status, body = await self._call(
+        status, body, _ = await self._call(
             "POST", "/-/kv-lease", {"ttl_ms": int(seconds * 1000)}
         )
         if status != 200:
@@ -170,7 +213,7 @@
 
     async def keep_lease(self, lease):
         """Renew a lease; return False if it has ended."""
-        status, _ = await self._call("POST", f"/-/kv-keep/{lease}", {})
+        status, _, _ = await self._call("POST", f"/-/kv-keep/{lease}", {})
         if status not in (200, 404):
             raise StoreError(f"keep: status {status}", False)
         return status == 200
--- a/dragonflywing/ports.py
+++ b/dragonflywing/ports.py
@@ -2,6 +2,7 @@
 
 from typing import Any, NamedTuple
 
+from dragonflywing.decisions.eras import Revision
 from dragonflywing.decisions.positions import Position
 
 
@@ -10,7 +11,7 @@
 
     key: str
     value: bytes | None
-    revision: int
+    revision: Revision
 
 
 class Answer(NamedTuple):
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -12,6 +12,7 @@
 from dragonflywing import logs
 from dragonflywing.clock import boottime
 from dragonflywing.decisions import replacement, rosters
+from dragonflywing.decisions.eras import ABSENT
 from dragonflywing.decisions.positions import confirmed_primary
 from dragonflywing.decisions.relays import Role
 from dragonflywing.errors import StoreError
@@ -66,7 +67,8 @@
     def apply_roster(self, item):
         """Apply a group's roster from the store."""
         group = item.key[len(ROSTER_PREFIX) :]
-        self._roster_revisions[group] = item.revision if item.value is not None else 0
+        is_stored = item.value is not None
+        self._roster_revisions[group] = item.revision if is_stored else ABSENT
         try:
             start_times = dict(json.loads(item.value)) if item.value is not None else {}
         except (ValueError, TypeError):
@@ -122,8 +124,8 @@
             self.lease = 0
             return
         holder_id = f"{self.node.settings.instance}/{self.cluster.incarnation}"
-        token = await self._claim(holder_id, item)
-        if not token:
+        claimed = await self._claim(holder_id, item)
+        if claimed is None:
             # The copy of the keys lags behind, so read the key itself.
             current, _ = await self.store.get(DUTY_KEY)
             self.apply_duty(current)
@@ -132,10 +134,10 @@
         rosters_now, _ = await self.store.get_prefix(ROSTER_PREFIX)
         for roster in rosters_now:
             self.apply_roster(roster)
-        self.token = token
+        self.token = claimed.number
         self.valid_until = asked_at + DUTY_LEASE_S
         self._health.clear()
-        logs.event("duty_taken", token=token)
+        logs.event("duty_taken", token=self.token)
 
     def _is_held(self):
         """Return whether another instance holds the duty."""
@@ -158,7 +160,7 @@
         return item.value.decode().split("/")[0] == self.node.settings.instance
 
     async def _claim(self, holder_id, item):
-        revision = item.revision if item else 0
+        revision = item.revision if item else ABSENT
         value = holder_id.encode()
         try:
             return await self.store.swap(DUTY_KEY, value, revision, self.lease)
@@ -167,7 +169,7 @@
                 raise
         current, _ = await self.store.get(DUTY_KEY)
         is_own = current is not None and current.value == value
-        return current.revision if is_own else 0
+        return current.revision if is_own else None
 
     async def release_duty(self):
         """Release the duty, so that another instance can acquire it at once."""
@@ -278,7 +280,7 @@
         }
         if start_times == recorded or not self.holds_duty():
             return
-        revision = self._roster_revisions.get(group, 0)
+        revision = self._roster_revisions.get(group, ABSENT)
         value = json.dumps(start_times).encode()
         try:
             written = await self.store.swap(ROSTER_PREFIX + group, value, revision)
--- a/dragonflywing/standin/platform_store.py
+++ b/dragonflywing/standin/platform_store.py
@@ -146,6 +146,7 @@
         changed = state.changed
         if state.era != era:
             req.transport.close()  # a store that goes away cuts its watches
+            raise web.HTTPServiceUnavailable()
         if after > state.revision:
             return web.json_response({}, status=410)
         events = [
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -1,20 +1,24 @@
-"""The client of the platform's store with truncated or malformed answers."""
+"""The client of the platform's store."""
 
 import asyncio
 
 import pytest
+from aiohttp import web
 
-from dragonflywing.errors import StoreError
+from dragonflywing.decisions.eras import ABSENT, Revision
+from dragonflywing.errors import HistoryLost, StoreError
+from dragonflywing.load.deployment import PortPool
 from dragonflywing.metrics import Metrics
 from dragonflywing.platform.store import PlatformStore
+from dragonflywing.standin.platform_store import PlatformState, make_app
 from test.helper import run
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
 CALLS = {
     "get": lambda store: store.get("key"),
     "get_prefix": lambda store: store.get_prefix("prefix"),
-    "watch": lambda store: store.watch("prefix", 1, 0.2),
-    "swap": lambda store: store.swap("key", b"value", 1),
+    "watch": lambda store: store.watch("prefix", Revision(0, 1), 0.2),
+    "swap": lambda store: store.swap("key", b"value", Revision(0, 1)),
     "grant_lease": lambda store: store.grant_lease(3.0),
 }
 
@@ -55,3 +59,103 @@
         with pytest.raises(StoreError) as caught:
             run(call_store(call, data))
         assert caught.value.may_have_run
+
+
+class TestRestoredStore:
+    """The stand-in store comes back from an older copy while a client is connected."""
+
+    def _check(self, check):
+        async def run_check():
+            state = PlatformState(None)
+            runner = web.AppRunner(make_app(state), shutdown_timeout=0.1)
+            await runner.setup()
+            port = PortPool().take()
+            await web.TCPSite(runner, "127.0.0.1", port).start()
+            store = PlatformStore("127.0.0.1", port, Metrics())
+            try:
+                await check(state, store)
+            finally:
+                store.close()
+                await runner.cleanup()
+
+        run(run_check())
+
+    def test_revisions_of_eras_differ(self):
+        async def check(state, store):
+            backup = state.back_up()
+            state.put("p/a", b"1")
+            item, before = await store.get("p/a")
+            state.restore(backup)
+            state.put("p/a", b"2")
+            again, after = await store.get("p/a")
+            assert item.revision.number == again.revision.number
+            assert item.revision < again.revision
+            assert before < after
+
+        self._check(check)
+
+    def test_a_watch_from_an_earlier_era_has_lost_its_history(self):
+        async def check(state, store):
+            backup = state.back_up()
+            state.put("p/a", b"1")
+            _, revision = await store.get("p/a")
+            state.restore(backup)
+            for number in range(5):  # beyond the revision that the watch starts at
+                state.put("p/a", b"%d" % number)
+            with pytest.raises(HistoryLost):
+                await store.watch("p/", revision, 1.0)
+            state.calls.clear()
+            with pytest.raises(HistoryLost):
+                await store.watch("p/", revision, 1.0)
+            assert not state.calls, "the era was known before the call"
+
+        self._check(check)
+
+    def test_another_call_ends_a_watch_that_was_not_cut(self):
+        async def check(state, store):
+            state.put("p/a", b"1")
+            _, revision = await store.get("p/a")
+            state.is_deaf = True
+            watch = asyncio.create_task(store.watch("p/", revision, 20.0))
+            await asyncio.sleep(0.2)
+            state.era += 1
+            await store.get("p/a")
+            with pytest.raises(HistoryLost):
+                async with asyncio.timeout(1.0):
+                    await watch
+
+        self._check(check)
+
+    def test_a_condition_on_an_earlier_era_does_not_hold(self):
+        async def check(state, store):
+            backup = state.back_up()
+            revision = await store.swap("p/a", b"1", ABSENT)
+            state.restore(backup)
+            state.put("p/a", b"2")
+            assert state.items["p/a"]["revision"] == revision.number
+            # The first call learns of the era when its condition has held.
+            with pytest.raises(StoreError) as caught:
+                await store.swap("p/a", b"3", revision)
+            assert caught.value.may_have_run
+            state.calls.clear()
+            assert await store.swap("p/a", b"4", revision) is None
+            assert not state.calls
+
+        self._check(check)
+
+    def test_pages_of_different_eras_are_no_list(self):
+        async def check(state, store):
+            for number in range(600):
+                state.put(f"p/{number}", b"")
+            call = store._call
+
+            async def restore_after_call(*args, **query):
+                answer = await call(*args, **query)
+                state.era += 1
+                return answer
+
+            store._call = restore_after_call
+            with pytest.raises(HistoryLost):
+                await store.get_prefix("p/")
+
+        self._check(check)
--- a/test/test_following.py
+++ b/test/test_following.py
@@ -5,6 +5,7 @@
 
 from dragonflywing.cluster import MEMBER_PREFIX, Cluster
 from dragonflywing.decisions import replicas
+from dragonflywing.decisions.eras import Revision
 from dragonflywing.decisions.relays import DIRECT_SIZE
 from dragonflywing.errors import HistoryLost, StoreError
 from dragonflywing.exchange import Exchange
@@ -39,7 +40,7 @@
         return await self._next("old list" if may_be_old else "list", self.lists)
 
     async def watch(self, prefix, after, wait_s):
-        return await self._next(f"watch {after}", self.watches)
+        return await self._next(f"watch {after.number}", self.watches)
 
 
 def follow(lists, watches, seconds=10.0):
@@ -59,36 +60,42 @@
     return run_on_simulated_clock(check())
 
 
-ITEM = StoredItem("p/a", b"1", 3)
+def at(number, era=1):
+    return Revision(era, number)
+
+
+ITEM = StoredItem("p/a", b"1", at(3))
 
 
 class TestFollower:
     def test_watches_from_the_newest_key_of_a_list_that_may_be_old(self):
         # The store may have reached revision 9 after the list was current.
-        _, calls, _ = follow([([ITEM], 9)], [])
+        _, calls, _ = follow([([ITEM], at(9))], [])
         assert calls == ["old list", "watch 3"]
 
     def test_reads_a_current_list_if_the_history_is_lost(self):
-        new = StoredItem("p/b", b"1", 8)
-        lists = [([ITEM], 3), ([new], 9)]
+        new = StoredItem("p/b", b"1", at(8))
+        lists = [([ITEM], at(3)), ([new], at(9))]
         follower, calls, _ = follow(lists, [HistoryLost("p/")])
         assert calls == ["old list", "watch 3", "list", "watch 9"]
         assert set(follower.replica.items) == {"p/b"}
 
     def test_keeps_its_copy_while_a_lost_history_can_not_be_replaced(self):
         # An instance that is ready must stay so, as the copy is still good.
-        lists = [([ITEM], 3), *[StoreError("x", False)] * 3, ([ITEM], 9)]
+        lists = [([ITEM], at(3)), *[StoreError("x", False)] * 3, ([ITEM], at(9))]
         _, calls, had_list = follow(lists, [HistoryLost("p/")])
         assert calls.count("list") == 4
         assert all(had_list[1:])
 
     def test_an_older_list_of_another_instance_is_no_replacement(self):
         async def check():
-            store = ScriptedStore([([ITEM], 3), ([ITEM], 9)], [HistoryLost("p/")])
+            store = ScriptedStore(
+                [([ITEM], at(3)), ([ITEM], at(9))], [HistoryLost("p/")]
+            )
             follower = Follower(store, "p/", lambda items: None, Metrics())
             task = asyncio.create_task(follower.run())
             await asyncio.sleep(0.025)
-            follower.apply(replicas.Changes(True, 2, []))
+            follower.apply(replicas.Changes(True, at(2), []))
             await asyncio.sleep(1)
             task.cancel()
             return store.calls
@@ -96,8 +103,26 @@
         calls = run_on_simulated_clock(check())
         assert calls == ["old list", "watch 3", "list", "watch 9"]
 
+    def test_pauses_after_a_list_that_is_older_than_its_copy(self):
+        old = StoredItem("p/a", b"0", at(2))
+        lists = [([ITEM], at(9)), *[([old], at(2))] * 100]
+        _, calls, _ = follow(lists, [HistoryLost("p/")], seconds=5.0)
+        assert calls.count("list") <= 5 / 0.2
+
+    def test_pauses_if_each_list_is_followed_by_a_lost_history(self):
+        lists = [([ITEM], at(3)) for _ in range(100)]
+        _, calls, _ = follow(lists, [HistoryLost("p/")] * 100, seconds=5.0)
+        assert calls.count("list") <= 5 / 0.2
+
+    def test_takes_over_a_lower_revision_of_a_later_era(self):
+        new = StoredItem("p/b", b"1", at(2, era=2))
+        lists = [([ITEM], at(3)), ([new], at(2, era=2))]
+        follower, calls, _ = follow(lists, [HistoryLost("p/")])
+        assert calls == ["old list", "watch 3", "list", "watch 2"]
+        assert "p/b" in follower.replica.items
+
     def test_resumes_a_watch_that_was_cut(self):
-        _, calls, _ = follow([([ITEM], 3)], [StoreError("x", True)])
+        _, calls, _ = follow([([ITEM], at(3))], [StoreError("x", True)])
         assert calls == ["old list", "watch 3", "watch 3"]
 
 
@@ -147,7 +172,11 @@
 
     def test_a_later_one_serves(self):
         answer = idl.Beliefs(
-            config_version=1, config_age=0.1, groups=[], config_revision=1
+            config_version=1,
+            config_age=0.1,
+            groups=[],
+            config_revision=1,
+            config_era=1,
         )
         assert self._is_served(answer)
 
