Confirm no version before operators have written theirs again after a restore

What callers could see: right after the store came back from an older copy, a key that had been withdrawn just before was accepted again for up to revoke_ms, if the withdrawal was lost and no instance had read it yet; an instance that had just started served an older version.

Cause: an answer of the restored store counted as proof that its version was the newest one acknowledged. Right after a restore it is not.

In a later era of the store no version is confirmed until 2 s after an instance has learned of the era. An instance that starts later cannot see the change, so the holder of the duty marks each era by a key once everyone may rely on the store, and without the mark a new process waits too. Newer versions still take effect at once, older ones never.

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -12,18 +12,22 @@
 
 from dragonflywing import logs
 from dragonflywing.clock import boottime
-from dragonflywing.decisions import membership, relays
+from dragonflywing.decisions import eras, membership, relays
 from dragonflywing.errors import StoreError
 from dragonflywing.following import Follower, retry_pause_s
 from dragonflywing.links import Link, LinkLost, pack
 
 FLEET_PREFIX = "dfw/"  # of the keys that instances write
 MEMBER_PREFIX = FLEET_PREFIX + "members/"
+ERA_KEY = FLEET_PREFIX + "era"  # its value is the era that was marked last
 # An instance that crashes stays listed for this long. That is longer than the time
 # after which an instance without confirmation refuses all operations, so no share
 # of the rates is used twice.
 MEMBER_LEASE_S = 9.0
 RENEW_S = 2.7
+# How long an entry that is missing after an outage of the store is kept. Its instance
+# may learn only at its next renewal that the lease has ended.
+MEMBER_RESTORE_S = 4.0
 EXCHANGE_S = 0.5
 EXCHANGE_TIMEOUT_S = 0.6
 # Pause while some partner has not answered since it registered, as after a start.
@@ -79,6 +83,8 @@
         self.metrics = metrics
         # The keys that instances write; the owner sets what is called for changes.
         self.keys = Follower(store, FLEET_PREFIX, None, metrics)
+        self.eras = eras.EraState()
+        store.on_era = lambda era: eras.note_era(self.eras, boottime(), era)
         self.incarnation = random.getrandbits(40)
         self.peers = {}
         self.links = {}
@@ -202,6 +208,29 @@
             link.close()
 
     # Calls
+    # The store's era
+
+    def apply_mark(self, item):
+        """Apply the key that marks the store's era."""
+        try:
+            era = int(item.value or 0)
+        except ValueError:
+            self.metrics.count("refused.bad_era")
+            logs.warn("bad_era", value=str(item.value)[:40])
+            return
+        eras.note_mark(self.eras, era, item.revision)
+
+    async def mark_era(self):
+        """Mark the store's present era, if it is not marked and long enough known."""
+        era = self.eras.era
+        is_settled = eras.is_settled(self.eras, boottime(), eras.MARK_AFTER_S)
+        if eras.is_marked(self.eras) or not is_settled:
+            return
+        revision = await self.store.swap(ERA_KEY, str(era).encode(), None)
+        if revision is not None and revision.era == era:
+            eras.note_mark(self.eras, era, revision)
+            logs.event("era_marked", era=era)
+
 
     def link(self, instance):
         """Return the Link to another instance, or raise LinkLost."""
--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -12,6 +12,7 @@
 
 from dragonflywing import logs
 from dragonflywing.clock import boottime
+from dragonflywing.decisions import eras
 from dragonflywing.decisions.eras import ABSENT
 from dragonflywing.decisions.relays import Role
 from dragonflywing.errors import HistoryLost, StoreError, UserError
@@ -19,6 +20,8 @@
 from dragonflywing.links import LinkLost, idl, pack, unpack
 
 # How often one instance confirms the configuration for the fleet.
+# How often an instance checks whether the store's era is settled.
+SETTLE_POLL_S = 0.1
 CONFIRM_INTERVAL_S = 0.9
 # The next instance asks the store itself after it has received no confirmation for
 # this long, and each further one a little later.
@@ -111,9 +114,9 @@
         if version != self.version() or self.cfg is None:
             return
         if self.confirmed_at is None or asked_at > self.confirmed_at:
-            if self.confirmation_age() > CONFIRM_STALE_AFTER_S:
+            was_confirmed, self.confirmed_at = self.is_confirmed(), asked_at
+            if self.is_confirmed() and not was_confirmed:
                 logs.event("confirmed_again", version=version, revision=revision)
-            self.confirmed_at = asked_at
         self.confirmed_revision = max(self.confirmed_revision, revision)
 
     async def keep_confirmed(self):
@@ -135,9 +138,20 @@
                 pause_s = min(2 * pause_s, MAX_CONFIRM_PAUSE_S)
             # Reading a large value takes long, so its confirmation is already old.
             elapsed_s = self.now() - started_at
-            await asyncio.sleep(
-                max(0.0, pause_s * random.uniform(0.8, 1.0) - elapsed_s)
-            )
+            await self._wait(pause_s * random.uniform(0.8, 1.0) - elapsed_s)
+
+    async def _wait(self, pause_s):
+        """Wait for a time, or until the store's era is settled if it is not."""
+        end = self.now() + pause_s
+        while not self._is_settled() and self.now() < end - SETTLE_POLL_S:
+            await asyncio.sleep(SETTLE_POLL_S)
+            if self._is_settled():
+                return
+        await asyncio.sleep(max(0.0, end - self.now()))
+
+    def _is_settled(self):
+        """Return whether the store holds what operators wrote before a restore."""
+        return eras.is_settled(self.cluster.eras, boottime())
 
     def _is_confirmer(self):
         return self.cluster.rank("confirm") == 0
@@ -157,7 +171,7 @@
         Only changes are transferred. The value may be large, so reading all of it
         each time would take the link from the calls that keep leases.
         """
-        asked_at = boottime()
+        asked_at, is_settled = boottime(), self._is_settled()
         key, store = self.ports.configuration_key, self.ports.store
         item = None
         if self.cfg is None or self.confirmed_revision == ABSENT:
@@ -181,9 +195,11 @@
         is_current = item is None or (
             item.value is not None and self._apply_configuration(item.value, "store")
         )
-        if is_current:
+        if is_current and is_settled and self._is_settled():
             self.confirm(self.version(), asked_at, revision)
 
+        elif is_current:
+            self.metrics.count("store.unsettled_confirmation")
     # Databases
 
     @property
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -9,7 +9,7 @@
 
 from dragonflywing import gauges, logs, supervisor
 from dragonflywing.clock import boottime
-from dragonflywing.cluster import MEMBER_PREFIX, Cluster
+from dragonflywing.cluster import ERA_KEY, MEMBER_PREFIX, MEMBER_RESTORE_S, Cluster
 from dragonflywing.decisions import division, floors
 from dragonflywing.directory import Directory
 from dragonflywing.errors import UserError
@@ -93,8 +93,11 @@
     def _apply_fleet_keys(self, items):
         """Apply changes of the keys that instances write to the store."""
         added, gone = [], []
-        for item in items:
-            if item.key == DUTY_KEY:
+        # What the other keys mean depends on the mark.
+        for item in sorted(items, key=lambda item: item.key != ERA_KEY):
+            if item.key == ERA_KEY:
+                self.cluster.apply_mark(item)
+            elif item.key == DUTY_KEY:
                 self.replacer.apply_duty(item)
             elif item.key.startswith(ROSTER_PREFIX):
                 self.replacer.apply_roster(item)
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -69,6 +69,7 @@
         self.restored_at = None  # loop time of the first answer after failed calls
         self.era = 0
         self._is_failing = False
+        self.on_era = lambda era: None  # called with each later era
         self._watch_timeouts = set()  # one for each watch that is waiting
         self._http = HttpClient(host, port)
 
@@ -104,6 +105,7 @@
         logs.event("store_era", era=era, was=self.era)
         self.era = era
         now = asyncio.get_running_loop().time()
+        self.on_era(era)
         while self._watch_timeouts:
             self._watch_timeouts.pop().reschedule(now)
 
--- /dev/null
+++ b/test/test_directory.py
@@ -0,0 +1,143 @@
+"""Tests of confirming the configuration, on a simulated clock."""
+
+import asyncio
+import json
+from types import SimpleNamespace
+
+import pytest
+
+from dragonflywing import directory
+from dragonflywing.decisions import eras
+from dragonflywing.decisions.eras import EraState, Revision
+from dragonflywing.decisions.relays import Role
+from dragonflywing.deployment import Database
+from dragonflywing.directory import Directory
+from dragonflywing.errors import HistoryLost
+from dragonflywing.groups import Groups
+from dragonflywing.metrics import Metrics
+from dragonflywing.ports import StoredItem
+from test.helper import run_on_simulated_clock
+
+KEY = "configuration"
+
+
+class Store:
+    """A store that holds one version of the configuration."""
+
+    restored_at = None
+
+    def __init__(self, version, revision):
+        self.version, self.revision, self.calls = version, revision, 0
+
+    async def get(self, key):
+        self.calls += 1
+        item = StoredItem(KEY, str(self.version).encode(), self.revision)
+        return item, self.revision
+
+    async def watch(self, key, after, wait_s):
+        self.calls += 1
+        if after.era != self.revision.era:
+            raise HistoryLost(key)
+        item, _ = await self.get(key)
+        return ([item] if item.revision > after else []), self.revision
+
+
+@pytest.fixture
+def checked(monkeypatch):
+    """Return a function that runs `check(directory, store)` on a simulated clock."""
+
+    def run_check(check, version=1, revision=None):
+        async def run():
+            loop = asyncio.get_running_loop()
+            monkeypatch.setattr(directory, "boottime", loop.time)
+            store = Store(version, revision or Revision(1, 5))
+            ports = SimpleNamespace(
+                store=store,
+                database_prefix="databases/",
+                configuration_key=KEY,
+                decode_configuration=lambda data: SimpleNamespace(
+                    version=int(data), groups={}
+                ),
+                decode_database=lambda key, value: Database(*json.loads(value)),
+            )
+            cluster = SimpleNamespace(
+                eras=EraState(), rank=lambda subject: 0, role=lambda: Role.DIRECT
+            )
+            eras.note_era(cluster.eras, loop.time(), store.revision.era)
+            settings = SimpleNamespace(key_withdrawal_s=5.0)
+            state = Directory(
+                settings, ports, Groups(None, Metrics()), cluster, Metrics()
+            )
+            state.on_configuration = lambda cfg: None
+            task = asyncio.create_task(state.keep_confirmed())
+            await asyncio.sleep(0.05)
+            await check(state, store)
+            task.cancel()
+
+        run_on_simulated_clock(run())
+
+    return run_check
+
+
+def restore(state, store, version, number):
+    """Let the store come back from a copy that holds a version."""
+    store.version, store.revision = version, Revision(store.revision.era + 1, number)
+    now = asyncio.get_running_loop().time()
+    eras.note_era(state.cluster.eras, now, store.revision.era)
+
+
+class TestRestoredStore:
+    def test_does_not_confirm_before_operators_have_written_again(self, checked):
+        async def check(state, store):
+            assert state.is_confirmed()
+            await asyncio.sleep(3)
+            restored_at = asyncio.get_running_loop().time()
+            # The store may have lost version 2, acknowledged just before.
+            restore(state, store, version=1, number=4)
+            await asyncio.sleep(eras.SETTLE_S - 0.1)
+            assert state.confirmed_at < restored_at
+            await asyncio.sleep(0.4)
+            assert state.confirmed_at >= restored_at + eras.SETTLE_S
+
+        checked(check)
+
+    def test_a_version_written_meanwhile_is_in_force_at_once(self, checked):
+        async def check(state, store):
+            restore(state, store, version=1, number=4)
+            await asyncio.sleep(0.3)
+            store.version, store.revision = 2, Revision(2, 5)
+            await asyncio.sleep(1.0)
+            assert state.version() == 2
+
+        checked(check)
+
+    def test_an_older_version_is_neither_taken_nor_confirmed(self, checked):
+        async def check(state, store):
+            store.version, store.revision = 3, Revision(1, 9)
+            await asyncio.sleep(2)
+            assert state.version() == 3
+            restore(state, store, version=2, number=6)
+            await asyncio.sleep(8)
+            assert state.version() == 3
+            assert not state.is_confirmed()
+            assert state.metrics.counters["configuration.older"] >= 3
+
+        checked(check)
+
+    def test_a_process_started_after_it_waits_too(self, checked):
+        async def check(state, store):
+            assert state.version() == 1
+            assert not state.is_confirmed()
+            await asyncio.sleep(eras.SETTLE_S + 0.3)
+            assert state.is_confirmed()
+
+        checked(check, revision=Revision(3, 5))
+
+    def test_a_process_started_in_a_marked_era_does_not_wait(self, checked):
+        async def check(state, store):
+            assert not state.is_confirmed()
+            eras.note_mark(state.cluster.eras, 3, Revision(3, 4))
+            await asyncio.sleep(0.3)
+            assert state.is_confirmed()
+
+        checked(check, revision=Revision(3, 5))
