Rely on no lease of an earlier era of the store

The ids of leases are given out again after a restore. An instance that registered after the copy was made renewed another holder's lease and was never listed again, or its entry stayed that of its earlier process.

A lease now carries its era and has ended once a later era is known. Missing entries of instances are kept for 4 s instead of 2.5 s after an outage: an instance may learn of its lost lease only at its next renewal, up to 2.7 s later. A registration whose lease ended meanwhile is repeated.

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -104,7 +104,7 @@
         self.floor_partners = set()  # the instances whose floors this one uses
         self._order_cache = {}
         self._liveness = None
-        self._member_lease = 0
+        self._member_lease = None
 
     def _now(self):
         return asyncio.get_running_loop().time()
@@ -127,10 +127,11 @@
             try:
                 lease = self._member_lease
                 if not lease or not await self.store.keep_lease(lease):
-                    self._member_lease = 0
+                    self._member_lease = None
                     lease = await self.store.grant_lease(lease_s)
                     value = json.dumps(entry).encode()
-                    await self.store.swap(key, value, None, lease)
+                    if await self.store.swap(key, value, None, lease) is None:
+                        raise StoreError("the lease ended before it was used", False)
                     self._member_lease = lease
                     logs.event("registered", instance=self.settings.instance)
                 failures = 0
--- a/dragonflywing/decisions/replicas.py
+++ b/dragonflywing/decisions/replicas.py
@@ -34,7 +34,7 @@
 
 
 class Removal(NamedTuple):
-    """A deleted item, and when the copy learned of the deletion."""
+    """A deleted item, and when the deletion takes or took effect in the copy."""
 
     item: Any
     at: float
@@ -57,11 +57,11 @@
         self.restored_at = None
 
 
-def apply_changes(state, now, changes, may_hold=lambda key: True):
+def apply_changes(state, now, changes, hold_s=lambda key: RESTORE_S):
     """Apply changes that are newer than the copy; return the items that differ.
 
-    Deletions of keys for which `may_hold(key)` is true are held back after an
-    outage; `expire` returns them later.
+    After an outage, the deletion of a key is held back for `hold_s(key)` seconds;
+    `expire` returns it later.
     """
     if changes.revision < state.revision:
         return []
@@ -73,7 +73,7 @@
         elif changes.revision.era > state.revision.era:
             note_restored(state, now)
     state.revision = changes.revision
-    return [item for item in items if _apply(state, now, item, may_hold)]
+    return [item for item in items if _apply(state, now, item, hold_s)]
 
 
 def note_restored(state, at):
@@ -92,7 +92,7 @@
     ]
 
 
-def _apply(state, now, item, may_hold):
+def _apply(state, now, item, hold_s):
     """Apply one item; return whether the copy has changed."""
     known = state.items.get(item.key)
     if item.value is not None:
@@ -104,9 +104,8 @@
         return True
     if known is None or item.revision <= known.revision:
         return False
-    is_restoring = state.restored_at is not None and now - state.restored_at < RESTORE_S
-    if is_restoring and may_hold(item.key):
-        state.held.setdefault(item.key, Removal(item, now))
+    if state.restored_at is not None and now - state.restored_at < hold_s(item.key):
+        state.held.setdefault(item.key, Removal(item, now + hold_s(item.key)))
         return False
     _delete(state, Removal(item, now))
     return True
@@ -120,7 +119,7 @@
 
 def expire(state, now):
     """Return the deletions that were held back long enough; forget old deletions."""
-    due = [x for x in state.held.values() if now - x.at >= RESTORE_S]
+    due = [removal for removal in state.held.values() if now >= removal.at]
     for removal in due:
         _delete(state, Removal(removal.item, now))
     for key, (item, at) in list(state.deletions.items()):
--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -15,6 +15,7 @@
 from dragonflywing.decisions import eras
 from dragonflywing.decisions.eras import ABSENT
 from dragonflywing.decisions.relays import Role
+from dragonflywing.decisions.replicas import RESTORE_S
 from dragonflywing.errors import HistoryLost, StoreError, UserError
 from dragonflywing.following import Follower
 from dragonflywing.links import LinkLost, idl, pack, unpack
@@ -53,7 +54,7 @@
         self.entries = Follower(
             ports.store, ports.database_prefix, self._apply_entries, metrics
         )
-        self.entries.may_hold = self._may_hold
+        self.entries.hold_s = self._hold_s
         self.on_configuration = None
         self._compressed = b""
         self._fetching = False
@@ -210,8 +211,8 @@
     def _database_name(self, key):
         return key[len(self.ports.database_prefix) :]
 
-    def _may_hold(self, key):
-        """Return whether an entry may be kept that was removed during an outage."""
+    def _hold_s(self, key):
+        """Return how long an entry is kept that was removed during an outage."""
         database = self.groups.databases.get(self._database_name(key))
         return database is not None and not database.is_leaving
 
--- a/dragonflywing/following.py
+++ b/dragonflywing/following.py
@@ -25,8 +25,8 @@
 class Follower:
     """A copy of the keys under a prefix, which it keeps up to date.
 
-    `on_items(items)` is called with the items that changed, `may_hold(key)` says
-    whether a deletion may be held back after an outage of the store. While
+    `on_items(items)` is called with the items that changed, `hold_s(key)` says how
+    long a deletion is held back after an outage of the store. While
     `is_served()` is true, other instances pass the changes on, and the store is
     not asked. Changes within `batch_s()` are read with one call.
     """
@@ -39,7 +39,7 @@
         self.replica = replicas.Replica()
         self.has_list = False
         self._must_list = True  # whether changes may have been missed
-        self.may_hold = lambda key: True
+        self.hold_s = lambda key: replicas.RESTORE_S
         self.is_served = lambda: False
         self.batch_s = lambda: 0.0
 
@@ -50,9 +50,7 @@
         """Apply Changes, from the store or from another instance."""
         replicas.note_restored(self.replica, self.store.restored_at)
         is_newer = changes.revision >= self.replica.revision
-        items = replicas.apply_changes(
-            self.replica, self._now(), changes, self.may_hold
-        )
+        items = replicas.apply_changes(self.replica, self._now(), changes, self.hold_s)
         if changes.is_complete and is_newer:
             self.has_list = True
             self._must_list = False
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -43,6 +43,11 @@
 MAX_LOGGED_MEMBERS = 8  # names in a log line about changed instances
 
 
+def _hold_s(key):
+    """Return how long a key of the fleet is kept that was removed in an outage."""
+    return MEMBER_RESTORE_S if key.startswith(MEMBER_PREFIX) else 0.0
+
+
 class Node:
     """The shared state of an instance's tasks, and its interface for sessions."""
 
@@ -67,7 +72,7 @@
         self.exchange.is_home_in = self._is_home_in
         self.cluster.is_settling = self._is_settling
         self.cluster.keys.on_items = self._apply_fleet_keys
-        self.cluster.keys.may_hold = lambda key: key.startswith(MEMBER_PREFIX)
+        self.cluster.keys.hold_s = _hold_s
         self.cluster.keys.batch_s = self._member_batch_s
         self.cluster.keys.is_served = self.cluster.is_served
         self.directory.entries.is_served = self._is_served_databases
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -8,7 +8,7 @@
 
 from dragonflywing import logs
 from dragonflywing.clock import boottime
-from dragonflywing.decisions.eras import ABSENT, Revision
+from dragonflywing.decisions.eras import ABSENT, Lease, Revision
 from dragonflywing.errors import HistoryLost, StoreError
 from dragonflywing.http import HttpClient, HttpError, Timeouts
 from dragonflywing.ports import StoredItem
@@ -60,7 +60,8 @@
     """Client of the store over HTTP.
 
     `era` is the store's latest one that is known. Watches from a revision of an
-    earlier era end at once with HistoryLost, and conditions on one don't hold.
+    earlier era end at once with HistoryLost, conditions on one don't hold, and the
+    leases of an earlier era have ended.
     """
 
     def __init__(self, host, port, metrics):
@@ -181,7 +182,7 @@
             items = [_item(event, era) for event in body["events"]]
             return items, Revision(era, body["current_rev"])
 
-    async def swap(self, key, value, revision, lease=0):
+    async def swap(self, key, value, revision, lease=None):
         """Write a key if its revision is `revision`; None writes it in any case.
 
         Return the new revision, or None if the revision differs or the lease ended.
@@ -189,7 +190,10 @@
         is_conditional = revision not in (None, ABSENT)
         if is_conditional and revision.era < self.era:
             return None
-        put = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+        if lease is not None and lease.era < self.era:
+            return None
+        data = base64.b64encode(value).decode()
+        put = {"key": key, "value": data, "lease": lease.id if lease else 0}
         expect = []
         if revision is not None:
             expect = [{"key": key, "revision": revision.number}]
@@ -204,25 +208,28 @@
             return Revision(era, answer["revision"]) if status == 200 else None
 
     async def grant_lease(self, seconds):
-        """Return the id of a new lease."""
-        status, body, _ = await self._call(
+        """Return a new Lease."""
+        status, body, era = await self._call(
             "POST", "/-/kv-lease", {"ttl_ms": int(seconds * 1000)}
         )
         if status != 200:
             raise StoreError(f"lease: status {status}", False)
         with _reject_malformed("lease"):
-            return body["lease"]
+            return Lease(era, body["lease"])
 
     async def keep_lease(self, lease):
         """Renew a lease; return False if it has ended."""
-        status, _, _ = await self._call("POST", f"/-/kv-keep/{lease}", {})
+        if lease.era < self.era:
+            return False
+        status, _, era = await self._call("POST", f"/-/kv-keep/{lease.id}", {})
         if status not in (200, 404):
             raise StoreError(f"keep: status {status}", False)
-        return status == 200
+        return status == 200 and era == lease.era
 
     async def end_lease(self, lease):
         """End a lease and delete its keys."""
-        await self._call("DELETE", f"/-/kv-lease-end/{lease}")
+        if lease.era == self.era:
+            await self._call("DELETE", f"/-/kv-lease-end/{lease.id}")
 
 
 class PromotionClient:
--- a/test/decisions/test_replicas.py
+++ b/test/decisions/test_replicas.py
@@ -117,7 +117,7 @@
         state = listed()
         state.restored_at = 10.0
         gone = item("a", None, 7)
-        assert apply(state, 7, gone, now=10.0, may_hold=lambda key: False) == [gone]
+        assert apply(state, 7, gone, now=10.0, hold_s=lambda key: 0.0) == [gone]
 
     def test_a_deletion_held_back_reaches_copies_that_were_up_to_date(self):
         source, copy = listed(), Replica()
