Keep two holders of the duty apart across a restore of the store

The fencing token of a promotion was the number of a revision, which goes back after a restore, so a later holder's token could be lower than, or equal to, one that had been used. A lease that the store has forgotten was free for another instance while its holder still relied on it.

The token now contains the era above the revision. In a new era, instances other than the last holder wait until the forgotten lease would have ended. The holder gives up when another instance has written the key.

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -208,7 +208,6 @@
         if link is not None:
             link.close()
 
-    # Calls
     # The store's era
 
     def apply_mark(self, item):
@@ -232,6 +231,7 @@
             eras.note_mark(self.eras, era, revision)
             logs.event("era_marked", era=era)
 
+    # Calls
 
     def link(self, instance):
         """Return the Link to another instance, or raise LinkLost."""
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -69,8 +69,8 @@
         self.answered_at = None
         self.restored_at = None  # loop time of the first answer after failed calls
         self.era = 0
-        self._is_failing = False
         self.on_era = lambda era: None  # called with each later era
+        self._is_failing = False
         self._watch_timeouts = set()  # one for each watch that is waiting
         self._http = HttpClient(host, port)
 
@@ -105,8 +105,8 @@
         self.metrics.count("store.era_changed")
         logs.event("store_era", era=era, was=self.era)
         self.era = era
-        now = asyncio.get_running_loop().time()
         self.on_era(era)
+        now = asyncio.get_running_loop().time()
         while self._watch_timeouts:
             self._watch_timeouts.pop().reschedule(now)
 
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -1,7 +1,7 @@
 """Replaces primaries; one instance at a time holds this duty.
 
-The duty is a key in the store under a lease. The revision at which the holder
-wrote the key is the fencing token of its promotions, so a later holder's token
+The duty is a key in the store under a lease. The era and revision at which the holder
+wrote the key are the fencing token of its promotions, so a later holder's token
 is greater.
 """
 
@@ -11,7 +11,7 @@
 
 from dragonflywing import logs
 from dragonflywing.clock import boottime
-from dragonflywing.decisions import replacement, rosters
+from dragonflywing.decisions import eras, replacement, rosters
 from dragonflywing.decisions.eras import ABSENT
 from dragonflywing.decisions.positions import confirmed_primary
 from dragonflywing.decisions.relays import Role
@@ -20,7 +20,8 @@
 
 DUTY_KEY = "dfw/duty/promotion"
 ROSTER_PREFIX = "dfw/groups/"
-DUTY_LEASE_S = 3.0  # another instance takes over from a dead holder after this time
+# Another instance takes over from a dead holder after this time.
+DUTY_LEASE_S = eras.LEASE_S
 RENEW_S = 0.8
 # The holder stops ordering promotions this long before its lease can end.
 LEASE_MARGIN_S = 0.5
@@ -52,7 +53,8 @@
         self.store = node.ports.store
         self.metrics = node.metrics
         self.token = 0
-        self.lease = 0
+        self.claimed = ABSENT  # the revision at which the key was written
+        self.lease = None
         self.valid_until = 0.0
         self._health = {}
         self._running = {}
@@ -63,6 +65,9 @@
     def apply_duty(self, item):
         """Apply the state of the duty's key; None or no value means that it is free."""
         self._duty_item = item if item is not None and item.value is not None else None
+        if self.token and item is not None and item.revision > self.claimed:
+            if item.value != self._holder_id():
+                self._lose_duty("key_changed")
 
     def apply_roster(self, item):
         """Apply a group's roster from the store."""
@@ -90,8 +95,10 @@
             try:
                 if self.lease and self.token:
                     await self._renew()
-                else:
+                if not self.token:
                     await self._acquire()
+                if self.token:
+                    await self.cluster.mark_era()
             except StoreError as exc:
                 self.metrics.count("duty.store_failed")
                 logs.event("duty_store_failed", error=str(exc))
@@ -103,28 +110,42 @@
         if await self.store.keep_lease(self.lease):
             self.valid_until = asked_at + DUTY_LEASE_S
             return
-        logs.event("duty_lost", token=self.token)
+        self._lose_duty("lease_ended")
+
+    def _lose_duty(self, reason):
+        logs.event("duty_lost", token=self.token, reason=reason)
+        if self.claimed.era == self.cluster.eras.era:
+            self.valid_until = 0.0
         self.token = 0
-        self.lease = 0
+        self.lease = None
+
+    def _holder_id(self):
+        return f"{self.node.settings.instance}/{self.cluster.incarnation}".encode()
 
     async def _acquire(self):
         """Acquire the duty if it is free, after the instances of a lower rank."""
         if self.cluster.leaving or not self.node.directory.has_database_list:
             return
-        if self._is_held():
+        if self._is_held() or not self._may_claim():
             return
         await asyncio.sleep(self._acquire_delay_s())
         item = self._duty_item
         if self._is_held():
             return
+        if item is not None and item.revision.era < self.cluster.eras.era:
+            item, _ = await self.store.get(DUTY_KEY)
+            self.apply_duty(item)
+            if self._is_held():
+                return
         asked_at = boottime()
         if not self.lease:
             self.lease = await self.store.grant_lease(DUTY_LEASE_S)
+            if not self._may_claim():  # the answer told of another era
+                return
         elif not await self.store.keep_lease(self.lease):
-            self.lease = 0
+            self.lease = None
             return
-        holder_id = f"{self.node.settings.instance}/{self.cluster.incarnation}"
-        claimed = await self._claim(holder_id, item)
+        claimed = await self._claim(item)
         if claimed is None:
             # The copy of the keys lags behind, so read the key itself.
             current, _ = await self.store.get(DUTY_KEY)
@@ -134,11 +155,20 @@
         rosters_now, _ = await self.store.get_prefix(ROSTER_PREFIX)
         for roster in rosters_now:
             self.apply_roster(roster)
-        self.token = claimed.number
+        self.claimed, self.token = claimed, eras.fencing_token(claimed)
         self.valid_until = asked_at + DUTY_LEASE_S
         self._health.clear()
         logs.event("duty_taken", token=self.token)
 
+    def _may_claim(self):
+        """Return whether no holder of an earlier era may still order promotions.
+
+        The store may have forgotten a lease on which its holder relies.
+        """
+        now = boottime()
+        was_own = now < self.valid_until
+        return was_own or eras.is_settled(self.cluster.eras, now, eras.LEASE_S)
+
     def _is_held(self):
         """Return whether another instance holds the duty."""
         item = self._duty_item
@@ -159,17 +189,20 @@
         # The holder was an earlier process of this instance, which has ended.
         return item.value.decode().split("/")[0] == self.node.settings.instance
 
-    async def _claim(self, holder_id, item):
-        revision = item.revision if item else ABSENT
-        value = holder_id.encode()
+    async def _claim(self, item):
+        """Write the duty's key; return its revision, None if another one holds it."""
+        revision, value = item.revision if item else ABSENT, self._holder_id()
         try:
-            return await self.store.swap(DUTY_KEY, value, revision, self.lease)
+            claimed = await self.store.swap(DUTY_KEY, value, revision, self.lease)
         except StoreError as exc:
             if not exc.may_have_run:
                 raise
-        current, _ = await self.store.get(DUTY_KEY)
-        is_own = current is not None and current.value == value
-        return current.revision if is_own else None
+            current, _ = await self.store.get(DUTY_KEY)
+            is_own = current is not None and current.value == value
+            claimed = current.revision if is_own else None
+        # The lease may belong to another one in a later era.
+        is_valid = claimed is not None and claimed.era == self.lease.era
+        return claimed if is_valid else None
 
     async def release_duty(self):
         """Release the duty, so that another instance can acquire it at once."""
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -216,6 +216,13 @@
                 stderr=log,
             )
 
+    async def restart(self, name):
+        """Kill an entry instance, start it again and wait until it is ready."""
+        self.processes[name].send_signal(signal.SIGKILL)
+        await self.processes[name].wait()
+        await self.start_instance(name, DATA_CENTRES[int(name[-1]) % 3])
+        await self.wait_ready(name)
+
     async def kill_instances(self):
         """Kill all entry instances and wait until they have ended."""
         for process in self.processes.values():
