Count databases that a restored roster lacks

A roster names the databases that may hold acknowledged writes. A restore brought back an older one, or none, and it replaced what instances knew: a database that had joined since and acknowledged writes was not counted any more, so a primary could be chosen without it and lose its writes.

A roster from before the era's mark is added to the known one, and the listed databases count as well, until the holder of the duty has written it again with a confirmed primary.

--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -74,6 +74,8 @@
         self._by_group = {}  # {group: {name: Database}}, the listed databases
         self.unlisted = {}
         self.rosters = {}  # {group: {name: born}} as in the store
+        # Groups whose roster may lack databases, as the store came back from a copy.
+        self.outdated_rosters = set()
         self.reborn = set()
         self.groups = {}  # {name: GroupState}
         self.homes = {}  # {database: Home}
@@ -164,11 +166,17 @@
         """Return the listed databases of a group."""
         return list(self._by_group.get(group, {}).values())
 
-    def note_roster(self, group, start_times):
+    def note_roster(self, group, start_times, is_outdated=False):
         """Set a group's roster, the databases that may hold its writes.
 
-        `start_times` gives the start time of each: {name: born}.
+        `start_times` gives the start time of each: {name: born}. Those of a roster
+        that may be outdated are added to the known ones.
         """
+        if is_outdated:
+            start_times = start_times | self.rosters.get(group, {})
+            self.outdated_rosters.add(group)
+        else:
+            self.outdated_rosters.discard(group)
         self.rosters[group] = start_times
         logs.event("roster", group=group, databases=",".join(sorted(start_times)))
         for database in self.members(group):
@@ -197,7 +205,8 @@
         names = {x.name for x, _ in self.unlisted.values() if x.group == group}
         names |= self.rosters.get(group, {}).keys()
         members = self.members(group)
-        if not names or any(item.is_primary for item in members):
+        has_primary = any(item.is_primary for item in members)
+        if not names or has_primary or group in self.outdated_rosters:
             names.update(item.name for item in members)
         # Without a primary, a database outside the roster has joined too late to
         # have acknowledged a write.
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -70,7 +70,10 @@
                 self._lose_duty("key_changed")
 
     def apply_roster(self, item):
-        """Apply a group's roster from the store."""
+        """Apply a group's roster from the store.
+
+        One that a restore may have brought back is only added to the known one.
+        """
         group = item.key[len(ROSTER_PREFIX) :]
         is_stored = item.value is not None
         self._roster_revisions[group] = item.revision if is_stored else ABSENT
@@ -80,7 +83,8 @@
             self.metrics.count("refused.bad_roster")
             logs.warn("bad_roster", group=group)
             return
-        self.groups.note_roster(group, start_times)
+        is_outdated = eras.may_be_outdated(self.cluster.eras, item.revision)
+        self.groups.note_roster(group, start_times, is_outdated)
 
     def holds_duty(self):
         """Return whether this instance may order promotions."""
@@ -295,6 +299,8 @@
         primary = confirmed_primary(votes, len(listed), needed)
         if primary is not None and primary.term < self.groups.state(group).term:
             primary = None
+        if primary is None and group in self.groups.outdated_rosters:
+            return
         names = rosters.compute_roster(
             self._roster_states.setdefault(group, rosters.RosterState()),
             set(recorded),
@@ -311,8 +317,13 @@
         start_times = {
             name: self._trusted_start(name, recorded) for name in sorted(names)
         }
-        if start_times == recorded or not self.holds_duty():
+        is_recorded = (
+            start_times == recorded and group not in self.groups.outdated_rosters
+        )
+        if is_recorded or not self.holds_duty():
             return
+        if not eras.is_marked(self.cluster.eras):
+            return  # it would count as outdated itself
         revision = self._roster_revisions.get(group, ABSENT)
         value = json.dumps(start_times).encode()
         try:
--- a/test/test_groups.py
+++ b/test/test_groups.py
@@ -56,3 +56,40 @@
             assert second.reborn == {"a"}
 
         run(check())
+
+
+class TestRostersBroughtBack:
+    """A restore of the store may bring back a roster that lacks databases."""
+
+    def test_databases_known_before_still_count(self):
+        async def check():
+            groups = Groups(None, Metrics())
+            groups.note_roster("orders", {"a": 1, "b": 2, "new": 1})
+            groups.note_roster("orders", {"a": 1, "b": 1}, is_outdated=True)
+            assert groups.quorum_names("orders") == {"a", "b", "new"}
+            assert groups.rosters["orders"]["b"] == 2
+            groups.note_roster("orders", {"a": 1, "new": 1})
+            assert groups.quorum_names("orders") == {"a", "new"}
+
+        run(check())
+
+    def test_a_lost_roster_leaves_the_known_one(self):
+        async def check():
+            groups = Groups(None, Metrics())
+            groups.note_roster("orders", {"a": 1, "b": 1, "c": 1})
+            groups.note_roster("orders", {}, is_outdated=True)
+            assert groups.quorum("orders") == 2
+
+        run(check())
+
+    def test_listed_databases_count_without_a_primary(self):
+        # An instance started after the restore doesn't know that `new` may have
+        # acknowledged writes.
+        async def check():
+            groups = Groups(None, Metrics())
+            groups.note_roster("orders", {"a": 1, "b": 1}, is_outdated=True)
+            for name in ("b", "new"):
+                groups.note_database(database(name))
+            assert groups.quorum("orders") == 2
+
+        run(check())
