Ignore entries of databases that a restore has brought back

A database that was leaving, or had left, was listed as ready again by the entry in the store's copy, and received requests.

Before the era is marked, an entry is ignored if a later report of the same process is known, or if the process has left. Entries carry a sequence number for this.

--- a/dragonflywing/deployment.py
+++ b/dragonflywing/deployment.py
@@ -46,7 +46,7 @@
     """A database as it last reported itself.
 
     `slots` is the number of statements that it runs at once, `born` the time at
-    which its process started.
+    which its process started, `sequence` the number of its report since then.
     """
 
     name: str
@@ -58,6 +58,7 @@
     is_leaving: bool
     is_primary: bool
     born: int
+    sequence: int = 0
 
 
 class Configuration(NamedTuple):
--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -20,9 +20,9 @@
 from dragonflywing.following import Follower
 from dragonflywing.links import LinkLost, idl, pack, unpack
 
-# How often one instance confirms the configuration for the fleet.
 # How often an instance checks whether the store's era is settled.
 SETTLE_POLL_S = 0.1
+# How often one instance confirms the configuration for the fleet.
 CONFIRM_INTERVAL_S = 0.9
 # The next instance asks the store itself after it has received no confirmation for
 # this long, and each further one a little later.
@@ -198,9 +198,9 @@
         )
         if is_current and is_settled and self._is_settled():
             self.confirm(self.version(), asked_at, revision)
-
         elif is_current:
             self.metrics.count("store.unsettled_confirmation")
+
     # Databases
 
     @property
@@ -214,7 +214,13 @@
     def _hold_s(self, key):
         """Return how long an entry is kept that was removed during an outage."""
         database = self.groups.databases.get(self._database_name(key))
-        return database is not None and not database.is_leaving
+        return 0.0 if database is None or database.is_leaving else RESTORE_S
+
+    def _is_brought_back(self, item, database):
+        """Return whether a restore of the store has brought back an older entry."""
+        if not eras.may_be_outdated(self.cluster.eras, item.revision):
+            return False
+        return self.groups.is_superseded(database)
 
     def _apply_entries(self, items):
         """Apply changed entries of databases."""
@@ -227,6 +233,9 @@
                     logs.event("bad_database_entry", key=item.key)
             if database is None:
                 self.groups.remove_database(self._database_name(item.key))
+            elif self._is_brought_back(item, database):
+                self.metrics.count("database.brought_back")
+                logs.event("database_brought_back", database=database.name)
             elif self.groups.databases.get(database.name) != database:
                 self.groups.note_database(database)
 
--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -33,6 +33,7 @@
 # A round queries the remaining databases if the first ones have not answered after
 # this time: a round trip between regions and a wait for a slot.
 FENCE_SECOND_QUERY_DELAY_S = 0.08
+MAX_LEFT = 1000  # databases that left and are remembered
 UNRESPONSIVE_S = 3.0  # a database that did not answer is queried last for this time
 # Subtracted from an accepted age, for the time between the check and the read.
 AGE_MARGIN_S = 0.05
@@ -71,6 +72,7 @@
         self.drain_s = drain_s
         self.databases = {}
         self._leaving_since = {}  # when each leaving database was first seen so
+        self._left = {}  # the start time of databases that left, oldest first
         self._by_group = {}  # {group: {name: Database}}, the listed databases
         self.unlisted = {}
         self.rosters = {}  # {group: {name: born}} as in the store
@@ -97,6 +99,14 @@
 
     # Databases
 
+    def is_superseded(self, database):
+        """Return whether a later report of the same process of a database is known."""
+        if self._left.get(database.name) == database.born:
+            return True
+        known = self.databases.get(database.name)
+        is_same = known is not None and known.born == database.born
+        return is_same and database.sequence < known.sequence
+
     def note_database(self, database):
         """Apply the entry with which a database last reported itself."""
         old = self.databases.get(database.name)
@@ -146,7 +156,11 @@
         del self._by_group[database.group][name]
         self._leaving_since.pop(name, None)
         logs.event("database_gone", database=name, leaving=database.is_leaving)
-        if not database.is_leaving:
+        if database.is_leaving:
+            self._left[name] = database.born
+            if len(self._left) > MAX_LEFT:
+                del self._left[next(iter(self._left))]
+        else:
             self.unlisted[name] = (database, self._now())
         self._drop_home(name)
 
--- a/dragonflywing/platform/documents.py
+++ b/dragonflywing/platform/documents.py
@@ -85,11 +85,12 @@
             is_leaving=state == "draining",
             is_primary=role == "primary",
             born=document.get("born", 0),
+            sequence=document.get("sequence", 0),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
     texts = (database.name, database.group, database.host, database.data_centre)
-    numbers = (database.slots, database.born)
+    numbers = (database.slots, database.born, database.sequence)
     if not all(isinstance(value, str) and value for value in texts):
         return None
     if not all(
--- a/test/test_directory.py
+++ b/test/test_directory.py
@@ -141,3 +141,40 @@
             assert state.is_confirmed()
 
         checked(check, revision=Revision(3, 5))
+
+
+class TestEntriesBroughtBack:
+    """A restore brings back entries of databases that have changed since."""
+
+    def _apply(self, state, revision, sequence, is_leaving, born=1):
+        entry = ("a", "g", "h", 1, "here", 2, is_leaving, False, born, sequence)
+        state._apply_entries(
+            [StoredItem("databases/a", json.dumps(entry).encode(), revision)]
+        )
+
+    def test_a_leaving_database_stays_leaving(self, checked):
+        async def check(state, store):
+            self._apply(state, Revision(1, 5), 7, True)
+            self._apply(state, Revision(2, 4), 6, False)
+            assert state.groups.databases["a"].is_leaving
+
+        checked(check)
+
+    def test_a_database_that_left_stays_away(self, checked):
+        async def check(state, store):
+            self._apply(state, Revision(1, 5), 7, True)
+            state._apply_entries([StoredItem("databases/a", None, Revision(1, 6))])
+            self._apply(state, Revision(2, 4), 6, False)
+            assert "a" not in state.groups.databases
+            self._apply(state, Revision(2, 5), 1, False, born=2)
+            assert "a" in state.groups.databases
+
+        checked(check)
+
+    def test_a_later_report_is_applied(self, checked):
+        async def check(state, store):
+            self._apply(state, Revision(1, 5), 7, False)
+            self._apply(state, Revision(2, 4), 8, True)
+            assert state.groups.databases["a"].is_leaving
+
+        checked(check)
