--- a/test/platform/test_restore.py
+++ b/test/platform/test_restore.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from dragonflywing.cluster import MEMBER_PREFIX, MEMBER_RESTORE_S
 from test.helper import run
-from test.platform.deployment import deployed
+from test.platform.deployment import DATA_CENTRES, deployed
 
 APPLY_S = 3.0  # within which a change of the configuration must be in force
 OUTAGE_S = 0.5
@@ -62,6 +63,67 @@
             assert (await caller.query("READ a"))[0] == ""
 
 
+class TestRegistrations:
+    def test_a_lease_given_out_again_is_not_taken_for_the_own(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path) as deployment:
+            platform = deployment.platform
+            backup = platform.back_up()
+            await deployment.restart("front-2")
+            key = f"{MEMBER_PREFIX}front-2"
+            entry, lease = platform.items[key]["value"], platform.items[key]["lease"]
+
+            def give_out_again():
+                platform.leases[lease] = (60.0, asyncio.get_running_loop().time() + 60)
+
+            await restore(deployment, backup, give_out_again)
+            assert platform.items[key]["value"] != entry
+            await asyncio.sleep(MEMBER_RESTORE_S)
+            assert platform.items[key]["value"] == entry
+            assert platform.items[key]["lease"] != lease
+            for name in ("front-0", "front-1"):
+                assert "gone=front-2" not in deployment.log_of(name).split("era=2")[1]
+
+
+class TestPromotions:
+    def test_fencing_tokens_rise(self, tmp_path):
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        async with deployed(tmp_path) as deployment:
+            platform = deployment.platform
+            caller = await deployment.connect("front-0", "orders")
+            assert (await caller.query("WRITE a 1"))[0] == ""
+            backup = platform.back_up()
+            put_unused_entries(platform, 30)
+            await self._replace_primary(deployment, 1)
+            await restore(deployment, backup)
+            await asyncio.sleep(1)
+            await self._replace_primary(deployment, 2)
+            tokens = [token for _, token, *_ in platform.promotions]
+            assert tokens == sorted(tokens) and tokens[0] < tokens[-1], tokens
+            code, rows, _ = await caller.query("READ a")
+            assert code == "" and rows[0].endswith(":1")
+
+    async def _replace_primary(self, deployment, count):
+        """Stop the primary; return once it is replaced and its entry is new."""
+        platform, group = deployment.platform, deployment.group
+        name = next(x for x, item in group.databases.items() if item.is_primary)
+        deployment.put_database_entry(
+            group.databases[name], DATA_CENTRES[int(name[-1])], "draining"
+        )
+        end = asyncio.get_running_loop().time() + 10
+        while len(platform.promotions) < count:
+            assert asyncio.get_running_loop().time() < end, "no promotion in time"
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1)
+        deployment.put_database_entry(
+            group.databases[name], DATA_CENTRES[int(name[-1])]
+        )
+
+
 class TestCalls:
     def test_lists_are_not_read_in_a_loop_after_a_restore(self, tmp_path):
         run(self._check(tmp_path))
