Write the configuration again after the store came back from a copy (MySQL)

Cause: a watcher confirmed the version in force whatever the store held, and nobody wrote the lost version again.

A watcher that finds an earlier version of its own configuration writes the one in force by compare-and-swap, and confirms only what the store holds. A version with another history is reported and not overwritten.

Before: TestRestoredStore in test_points.py failed (the change after the restore had version 3, and so had the lost one); it passes now, and the lost key works as well.

--- a/dragonflywing/configuration.py
+++ b/dragonflywing/configuration.py
@@ -85,6 +85,15 @@
     recent_changes: tuple[str, ...] = ()
 
 
+def is_earlier(cfg, later):
+    """Return whether a configuration is an earlier version of a later one.
+
+    Two versions may have no common history after the store came back from an older
+    copy and operators changed that.
+    """
+    return cfg.version < later.version and cfg.change_id in later.recent_changes
+
+
 def _require(condition, field, expected):
     if not condition:
         raise UserError(f"field {field}: expected {expected}")
--- a/dragonflywing/standin/store.py
+++ b/dragonflywing/standin/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 from collections import Counter, deque
 
@@ -39,6 +40,17 @@
         self.open_watches = 0
         self.mode = "ok"
         self.delay_s = 0.0
+        self._backup = None
+
+    def back_up(self):
+        """Keep a copy of the present state for `restore`."""
+        state = (self.revision, self.values, self.leases, self.lease_keys, self.history)
+        self._backup = copy.deepcopy(state)
+
+    def restore(self):
+        """Come back with the state of the copy; what was written since is gone."""
+        state = copy.deepcopy(self._backup)
+        self.revision, self.values, self.leases, self.lease_keys, self.history = state
 
 
 def _key_value(state, key):
@@ -226,6 +238,10 @@
         body = await request.json()
         state.mode = body.get("mode", state.mode)
         state.delay_s = float(body.get("delay_s", state.delay_s))
+        if body.get("back_up"):
+            state.back_up()
+        if body.get("restore"):
+            state.restore()
         if state.mode == "ok":
             now = asyncio.get_running_loop().time()
             for lease, (seconds, _) in list(state.leases.items()):
--- a/dragonflywing/watcher.py
+++ b/dragonflywing/watcher.py
@@ -3,9 +3,9 @@
 import asyncio
 import random
 
-from dragonflywing import logs
+from dragonflywing import configuration, logs
 from dragonflywing.decisions import versions
-from dragonflywing.errors import StoreError
+from dragonflywing.errors import StoreError, UserError
 
 CONFIGURATION_KEY = "/dfw/configuration"
 RETRY_MAX_S = 1.0
@@ -37,6 +37,9 @@
     fleet.store_ok = True
     for kv in kvs:
         fleet.offer(kv.value, "store")
+    entry = next((kv for kv in kvs if kv.key == CONFIGURATION_KEY), None)
+    if not await _is_stored(store, fleet, entry):
+        return
     _confirm_version(fleet, requested_at)
     async for changes in store.watch(CONFIGURATION_KEY, revision + 1):
         received_at = loop.time()
@@ -47,6 +50,39 @@
             return
 
 
+async def _is_stored(store, fleet, entry):
+    """Return whether the store holds the configuration in force.
+
+    A store that came back from an older copy lacks it; it is then written again, so
+    that operators change the newest version.
+    """
+    in_force = fleet.versions.cfg
+    if in_force is None:
+        return True
+    try:
+        stored = configuration.decode(entry.value) if entry else None
+    except UserError:
+        return False  # logged when it was offered
+    if stored is not None and stored.change_id == in_force.change_id:
+        return True
+    if stored is not None and not configuration.is_earlier(stored, in_force):
+        fleet.metrics.count("configuration.conflict")
+        logs.warn(
+            "configuration_conflict", stored=stored.version, in_force=in_force.version
+        )
+        return False
+    revision = entry.mod_revision if entry else 0
+    data = fleet.configuration_bytes()
+    if await store.swap(CONFIGURATION_KEY, data, revision):
+        fleet.metrics.count("configuration.written_again")
+        logs.event(
+            "configuration_written_again",
+            version=in_force.version,
+            stored=stored.version if stored else 0,
+        )
+    return False  # the next round reads it
+
+
 def _confirm_version(fleet, confirmed_at):
     now = asyncio.get_running_loop().time()
     version = versions.version(fleet.versions)
--- a/test/test_points.py
+++ b/test/test_points.py
@@ -532,6 +532,42 @@
             await asyncio.sleep(0.05)
 
 
+class TestRestoredStore:
+    """The store comes back from a copy that lacks the latest configurations."""
+
+    def test_lost_changes_stay_in_force_and_later_ones_take_effect(self):
+        run(self._check())
+
+    async def _check(self):
+        async with deployed() as deployment:
+            give = operations.give_key
+            _, first = await call_with_store(deployment, give, "press", "kept")
+            await deployment.set_store(back_up=True)
+            lost_key, lost = await call_with_store(deployment, give, "press", "lost")
+            await self._wait_in_force(deployment, lost.version)
+            await deployment.set_store(mode="down")
+            await asyncio.sleep(1)
+            await deployment.set_store(mode="ok", restore=True)
+            await asyncio.sleep(3)
+            new_key, new = await call_with_store(deployment, give, "press", "new")
+            assert new.version > lost.version > first.version
+            assert lost.change_id in new.recent_changes
+            await self._wait_in_force(deployment, new.version)
+            for key in (lost_key, new_key):
+                for entry in deployment.entries:
+                    conn = await connect(deployment, entry, password=key)
+                    assert await query(conn, "SELECT 1") == [(1,)]
+                    conn.close()
+
+    async def _wait_in_force(self, deployment, version):
+        settings = deployment.ops_settings()
+        behind = await operations.with_store(
+            settings,
+            lambda store: operations.wait_in_force(settings, store, version, 5.0),
+        )
+        assert behind == []
+
+
 class TestReadYourWrites:
     def test_read_own_write_with_lagging_replicas(self):
         run(self._check())
