Let the node pass the store's era on; fail lists of two eras as other calls

TestMalformedAnswers in test_links.py failed on a cluster without a store. A list whose pages are of different eras raised HistoryLost, which the holder of the duty does not expect when it reads the rosters.

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -84,7 +84,6 @@
         # The keys that instances write; the owner sets what is called for changes.
         self.keys = Follower(store, FLEET_PREFIX, None, metrics)
         self.eras = eras.EraState()
-        store.on_era = lambda era: eras.note_era(self.eras, boottime(), era)
         self.incarnation = random.getrandbits(40)
         self.peers = {}
         self.links = {}
@@ -210,6 +209,10 @@
 
     # The store's era
 
+    def note_era(self, era):
+        """Note an era of the store."""
+        eras.note_era(self.eras, boottime(), era)
+
     def apply_mark(self, item):
         """Apply the key that marks the store's era."""
         try:
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -71,6 +71,7 @@
         self.cluster.find_floor_partners = self._floor_partners
         self.exchange.is_home_in = self._is_home_in
         self.cluster.is_settling = self._is_settling
+        ports.store.on_era = self.cluster.note_era
         self.cluster.keys.on_items = self._apply_fleet_keys
         self.cluster.keys.hold_s = _hold_s
         self.cluster.keys.batch_s = self._member_batch_s
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -144,7 +144,7 @@
                 if revision is None:
                     revision = Revision(era, body["current_rev"])
                 if era != revision.era:
-                    raise HistoryLost(prefix)
+                    raise StoreError(f"range {prefix}: pages of different eras", False)
                 if not body.get("has_more"):
                     return items, revision
                 after = items[-1].key
