--- a/test/test_replacer.py
+++ b/test/test_replacer.py
@@ -21,12 +21,15 @@
 
     def __init__(self, era=1):
         self.era, self.number, self.item, self.leases = era, 10, None, {}
+        self.on_era = []  # called before each answer, as by the client of the store
 
     def restore(self):
         self.era += 1
         self.number, self.item, self.leases = 10, None, {}
 
     def _drop_ended(self):
+        for note_era in self.on_era:
+            note_era(self.era)
         now = asyncio.get_running_loop().time()
         self.leases = {k: end for k, end in self.leases.items() if end > now}
         if self.item and self.item[1] not in self.leases:
@@ -71,6 +74,7 @@
         loop = asyncio.get_running_loop()
         monkeypatch.setattr(replacer, "boottime", loop.time)
         eras_state = EraState()
+        store.on_era.append(lambda era: eras.note_era(eras_state, loop.time(), era))
 
         async def mark_era():
             pass
@@ -96,7 +100,6 @@
 
         async def follow():
             while True:
-                eras.note_era(eras_state, loop.time(), store.era)
                 item, revision = await store.get(DUTY_KEY)
                 state.apply_duty(item or StoredItem(DUTY_KEY, None, revision))
                 await asyncio.sleep(0.05)
