Say in its name that the watcher writes the configuration; decode it once

_is_stored wrote to the store, so it is _ensure_stored now. It compares bytes first: the stored configuration had just been decoded when it was offered, and a large one takes up to 96 ms. Behaviour is unchanged (TestRestoredStore and TestConfiguration pass).

--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -196,6 +196,7 @@
         is_current = item is None or (
             item.value is not None and self._apply_configuration(item.value, "store")
         )
+        # The answer itself may have told of a later era.
         if is_current and is_settled and self._is_settled():
             self.confirm(self.version(), asked_at, revision)
         elif is_current:
--- a/dragonflywing/watcher.py
+++ b/dragonflywing/watcher.py
@@ -38,7 +38,7 @@
     for kv in kvs:
         fleet.offer(kv.value, "store")
     entry = next((kv for kv in kvs if kv.key == CONFIGURATION_KEY), None)
-    if not await _is_stored(store, fleet, entry):
+    if not await _ensure_stored(store, fleet, entry):
         return
     _confirm_version(fleet, requested_at)
     async for changes in store.watch(CONFIGURATION_KEY, revision + 1):
@@ -50,14 +50,14 @@
             return
 
 
-async def _is_stored(store, fleet, entry):
-    """Return whether the store holds the configuration in force.
+async def _ensure_stored(store, fleet, entry):
+    """Return whether the store holds the configuration in force; write it if not.
 
-    A store that came back from an older copy lacks it; it is then written again, so
-    that operators change the newest version.
+    A store that came back from an older copy lacks it. Operators would then change
+    the older version.
     """
-    in_force = fleet.versions.cfg
-    if in_force is None:
+    in_force, data = fleet.versions.cfg, fleet.configuration_bytes()
+    if in_force is None or (entry is not None and entry.value == data):
         return True
     try:
         stored = configuration.decode(entry.value) if entry else None
@@ -72,7 +72,6 @@
         )
         return False
     revision = entry.mod_revision if entry else 0
-    data = fleet.configuration_bytes()
     if await store.swap(CONFIGURATION_KEY, data, revision):
         fleet.metrics.count("configuration.written_again")
         logs.event(
