--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,8 @@
-"""Instances are stopped in turn while callers have transactions open."""
+"""Reads on a replica that receives nothing, after its primary's home was frozen."""
 
 import asyncio
 import os
-import random
+import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -10,79 +10,100 @@
 
 import standins  # noqa: E402
 
-SESSIONS = 8  # of each instance
-STATEMENTS = 12  # of a transaction
-PAUSE_S = 0.5  # between them, far below txn_idle_ms
-WORK_S = 0.06  # below the site's greatest work_ms, 110
-ROUNDS = 3
-GRACE_S = standins.BOUNDS["grace_s"]
-LAST_SENT_S = 3.0  # later requests are not excused by a database that is at work
-TURN_S = 10.5  # from one instance's SIGTERM to the next one's
+MAX_STALENESS_S = 1.5
+FREEZE_S = 4.0  # the site's node_freeze
+DEAF_BEFORE_S = 0.65  # from a replica's last commit to the freeze
+PAUSE_S = 4.0  # from one freeze to the next
+ROUNDS = 11
+BUSY_ROUNDS = 3  # with many reads on the primary route
+WORK_S = 0.015
 
 
-async def run_transactions(deployment, name, rng, cut):
-    """Run transactions on one session of an instance until cancelled."""
-    record = deployment.record
+async def repeat(deployment, instance, route, text, pause_s, done):
+    """Run a statement again and again on one session until cancelled."""
+    number = 0
     while True:
         try:
-            caller = await standins.Caller.open(deployment, name, "orders")
-        except (OSError, EOFError, TimeoutError, standins.Refused):
-            await asyncio.sleep(0.3)
-            continue
-        code = ""
-        while not code.startswith("cut"):
-            texts = [f"READ {rng.randrange(2000):x}" for _ in range(STATEMENTS - 2)]
-            for text in ["BEGIN READ", *texts, "COMMIT"]:
-                statement_id, code, sent_at = await caller.query(text)
-                if code:
+            caller = await standins.Caller.open(deployment, instance, route)
+            while True:
+                number += 1
+                statement_id, code, sent_at = await caller.query(text.format(number))
+                done.append((statement_id, code, sent_at, deployment.record.now()))
+                if code.startswith("cut"):
                     break
-                await asyncio.sleep(PAUSE_S * rng.uniform(0.7, 1.3))
-            if code.startswith("cut"):
-                cut.append((statement_id, name, text, sent_at, record.now()))
-            elif code:
-                await caller.query("ROLLBACK")
-            await asyncio.sleep(0.1)
-        caller.close()
+                await asyncio.sleep(pause_s)
+            caller.close()
+        except (OSError, EOFError, TimeoutError, standins.Refused):
+            pass
+        await asyncio.sleep(0.1)
+
+
+def find_stale(deployment, writes, reads):
+    """Return a line for each read that lacks a commit acknowledged long before."""
+    primary = deployment.group.primary()
+    numbers = {entry[1]: number for number, entry in enumerate(primary.log, 1)}
+    acknowledged = [(at, numbers[name]) for name, code, _, at in writes if not code]
+    sent = {name: sent_at for name, code, sent_at, _ in reads if not code}
+    broken = []
+    for database in deployment.databases:
+        for at, name, verb, applied in database.runs:
+            if verb != "READ" or name not in sent:
+                continue
+            lacking = [t for t, number in acknowledged if number > applied]
+            age_s = sent[name] - min(lacking, default=sent[name])
+            if age_s > MAX_STALENESS_S:
+                broken.append(
+                    f"STALE: {name} sent at {sent[name]:.3f} s ran on {database.name} "
+                    f"at {at:.3f} s, which lacked a commit acknowledged "
+                    f"{1000 * age_s:.0f} ms before"
+                )
+    return broken
 
 
 async def case(deployment, trouble):
-    """Stop the instances in turn by SIGTERM, and start each again."""
-    record, cut = deployment.record, []
+    """Let a replica receive nothing, and freeze the primary's home, several times."""
+    record, writes, reads, other = deployment.record, [], [], []
     for database in deployment.databases:
         database.work_s = WORK_S
-    rng = random.Random(5)
-    tasks = [
-        asyncio.create_task(run_transactions(deployment, name, rng, cut))
-        for name in deployment.instances
-        for _ in range(SESSIONS)
+    names = list(deployment.instances)
+    steady = [
+        repeat(deployment, x, "orders", "WRITE 1a {}", 0.3, writes) for x in names
+    ]
+    for _ in range(4):
+        steady += [
+            repeat(deployment, x, "marks", "READ 1a", 0.08, reads) for x in names
+        ]
+    busy = [
+        repeat(deployment, x, "orders", "READ 1a", 0.01, other)
+        for x in names
+        for _ in range(3)
     ]
-    await asyncio.sleep(8.0)
-    stopped_at = {name: [] for name in deployment.instances}
-    for instance in list(deployment.instances.values()) * ROUNDS:
-        next_at = record.now() + TURN_S
+    steady = [asyncio.create_task(task) for task in steady]
+    busy = [asyncio.create_task(task) for task in busy]
+    await asyncio.sleep(6.0)
+    process = deployment.instances["front-0"].process
+    for number in range(ROUNDS):
+        if number == BUSY_ROUNDS:
+            for task in busy:
+                task.cancel()
+        database = deployment.databases[1 + number % 2]
+        database.is_deaf = True
+        record.write("deaf", database=database.name)
+        await asyncio.sleep(DEAF_BEFORE_S)
         if trouble:
-            stopped_at[instance.name].append(record.now())
-            await deployment.terminate(instance)
-            record.write("ended", instance=instance.name)
-            await asyncio.sleep(0.5)
-            await deployment.start_instance(instance)
-        await asyncio.sleep(next_at - record.now())
-    for task in tasks:
+            record.write("freeze", instance="front-0")
+            process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_S)
+        if trouble:
+            process.send_signal(signal.SIGCONT)
+            record.write("wake", instance="front-0")
+        database.is_deaf = False
+        await asyncio.sleep(PAUSE_S)
+    for task in steady:
         task.cancel()
-    ran = {item[1] for database in deployment.databases for item in database.runs}
-    broken = []
-    for statement_id, name, text, sent_at, cut_at in cut:
-        for term_at in stopped_at[name]:
-            after_s = sent_at - term_at
-            is_planned = after_s > LAST_SENT_S and cut_at - term_at < GRACE_S + 1
-            if statement_id in ran and is_planned:
-                broken.append(
-                    f"LOST: {text} ({statement_id}) sent {after_s:.3f} s after the "
-                    f"SIGTERM of {name} ran, and was cut {cut_at - sent_at:.3f} s "
-                    "later unanswered"
-                )
-    return broken
+    return find_stale(deployment, writes, reads)
 
 
 if __name__ == "__main__":
-    standins.run_case(FOLDER, case, {"orders": ("bounded_staleness", 1500)})
+    routes = {"orders": ("primary", 0), "marks": ("bounded_staleness", 1500)}
+    standins.run_case(FOLDER, case, routes)
