--- a/review/standins.py
+++ b/review/standins.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -1084,6 +1085,7 @@
             if process is not None and process.returncode is None:
                 process.send_signal(signal.SIGKILL)
                 await process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run_case(folder, case, routes, **options):
