--- a/dragonflywing/homes.py
+++ b/dragonflywing/homes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import random
 from typing import NamedTuple
@@ -259,13 +260,23 @@
         for pooled in reversed(self.idle):
             if pooled.workspace == workspace:
                 self.idle.remove(pooled)
-                if await self._is_usable(pooled):
-                    return pooled
+                with self._discarding_on_error(pooled):
+                    if await self._is_usable(pooled):
+                        return pooled
                 self.metrics.count("database.stale_connection")
                 self._discard(pooled)
                 return await self._take_idle(workspace)
         return None
 
+    @contextlib.contextmanager
+    def _discarding_on_error(self, pooled):
+        """Discard a connection if the block doesn't end normally."""
+        try:
+            yield
+        except BaseException:  # also if the statement is cancelled
+            self._discard(pooled)
+            raise
+
     async def _is_usable(self, pooled):
         """Return whether a connection works; validate it if it was idle for long."""
         if pooled.conn.is_broken():
@@ -429,18 +440,16 @@
         sent, answer = False, None
         release_slot = self._hold_slot()
         try:
-            async with asyncio.timeout_at(attempt_deadline):
-                await self._prepare_session(pooled, req)
-                answer = await self._open_transaction(pooled, req, floor)
-                if answer is not None:
-                    self._return_to_pool(pooled)
-                    return answer, ""
-                sent = True
-                answer = await pooled.conn.run(
-                    req.statement_id, self._text_at_floor(req, floor)
-                )
+            with self._discarding_on_error(pooled):
+                async with asyncio.timeout_at(attempt_deadline):
+                    await self._prepare_session(pooled, req)
+                    answer = await self._open_transaction(pooled, req, floor)
+                    if answer is None:
+                        sent = True
+                        answer = await pooled.conn.run(
+                            req.statement_id, self._text_at_floor(req, floor)
+                        )
         except (ConnectionFailed, TimeoutError) as exc:
-            self._discard(pooled)
             answer = self._handle_lost_connection(req, sent, exc)
             return answer, ""
         finally:
@@ -448,6 +457,9 @@
             code = answer.code if answer else outcomes.ABORTED
             duration_s = self._now() - started_at
             self.metrics.time("database", duration_s, req.kind, code or "ok")
+        if not sent:  # the database refused to open the transaction
+            self._return_to_pool(pooled)
+            return answer, ""
         return self._finish_statement(pooled, req, answer, origin)
 
     def _text_at_floor(self, req, floor):
@@ -506,10 +518,10 @@
 
     async def _roll_back_connection(self, pooled):
         try:
-            async with asyncio.timeout(ROLLBACK_TIMEOUT_S):
-                answer = await pooled.conn.run("-", self.adapter.ROLLBACK)
+            with self._discarding_on_error(pooled):
+                async with asyncio.timeout(ROLLBACK_TIMEOUT_S):
+                    answer = await pooled.conn.run("-", self.adapter.ROLLBACK)
         except (ConnectionFailed, TimeoutError):
-            self._discard(pooled)
             return
         if answer.code or answer.in_transaction:
             self._discard(pooled)
@@ -543,8 +555,11 @@
                     status = self.adapter.decode_status(answer)
             except (ConnectionFailed, ConnectionRefused, TimeoutError) as exc:
                 self.metrics.count(f"database.control.{type(exc).__name__}")
-                self._close_control()
                 return None
+            finally:
+                # A statement that was cancelled or failed has dropped it.
+                if self._control is not None and self._control.is_broken():
+                    self._close_control()
         return status
 
     def _close_control(self):
--- a/dragonflywing/platform/databases.py
+++ b/dragonflywing/platform/databases.py
@@ -1,8 +1,9 @@
 """Connections to the platform's databases, and the texts of their statements."""
 
 import asyncio
+import contextlib
 
-from dragonflywing import outcomes
+from dragonflywing import outcomes, streams
 from dragonflywing.decisions.positions import Position
 from dragonflywing.platform import lines
 from dragonflywing.ports import (
@@ -30,31 +31,55 @@
 }
 
 
+@contextlib.contextmanager
+def _exchange(stream):
+    """Drop the connection if the block fails; raise errors as ConnectionFailed."""
+    try:
+        with stream.call():
+            yield
+    except (OSError, EOFError, ValueError, asyncio.LimitOverrunError) as exc:
+        raise ConnectionFailed(type(exc).__name__) from None
+    except lines.MalformedLine as exc:
+        raise ConnectionFailed(str(exc)) from None
+
+
 class DatabaseConnection:
     """One connection to a database, opened for one workspace.
 
     `position` is the log position that the database reported last, or None.
     """
 
-    def __init__(self, reader, writer, position):
-        self.reader = reader
-        self.writer = writer
-        self.position = position
+    def __init__(self, stream):
+        self.position = None
+        self._stream = stream
+
+    async def start(self, database, workspace):
+        """Send STARTUP; raise ConnectionRefused unless the database accepts it."""
+        with _exchange(self._stream):
+            self._stream.write(
+                lines.encode("STARTUP", database.group, workspace, database.name)
+            )
+            word, _, rest = (await self._read_line()).partition(" ")
+            if word != "READY":
+                raise ConnectionRefused(
+                    OUTCOMES.get(rest.partition(" ")[0], outcomes.FAILED)
+                )
+            self.position = lines.decode_position(rest.partition(" ")[2])
 
     async def _read_line(self):
-        try:
-            return lines.decode(await self.reader.readuntil(lines.LINE_END))
-        except (OSError, EOFError, ValueError, asyncio.LimitOverrunError) as exc:
-            raise ConnectionFailed(type(exc).__name__) from None
-        except lines.MalformedLine as exc:
-            raise ConnectionFailed(str(exc)) from None
+        return lines.decode(await self._stream.reader.readuntil(lines.LINE_END))
 
     def send(self, statement_id, text):
         """Send a statement without waiting; answers arrive in the order of sending."""
-        self.writer.write(lines.encode("QUERY", statement_id, text))
+        with _exchange(self._stream):
+            self._stream.write(lines.encode("QUERY", statement_id, text))
 
     async def receive(self):
         """Return the Answer to the oldest statement that has none yet."""
+        with _exchange(self._stream):
+            return await self._read_answer()
+
+    async def _read_answer(self):
         code, text, rows = "", "", []
         while True:
             line = await self._read_line()
@@ -81,34 +106,24 @@
         return await self.receive()
 
     def is_broken(self):
-        """Return whether the database has closed the connection."""
-        return self.reader.at_eof() or self.reader.exception() is not None
+        """Return whether the connection was closed or dropped."""
+        return not self._stream.is_usable()
 
     def close(self):
         """Close the connection, which rolls back an open transaction."""
-        self.writer.close()
+        self._stream.drop()
 
 
 async def connect(database, workspace):
     """Open a connection to a database for a workspace."""
     try:
-        reader, writer = await asyncio.open_connection(
-            database.host, database.port, limit=lines.MAX_LINE_BYTES + 2
+        stream = await streams.connect(
+            database.host, database.port, lines.MAX_LINE_BYTES + 2
         )
     except OSError as exc:
         raise ConnectionFailed(type(exc).__name__) from None
-    conn = DatabaseConnection(reader, writer, None)
-    try:
-        writer.write(lines.encode("STARTUP", database.group, workspace, database.name))
-        word, _, rest = (await conn._read_line()).partition(" ")
-        if word != "READY":
-            raise ConnectionRefused(
-                OUTCOMES.get(rest.partition(" ")[0], outcomes.FAILED)
-            )
-        conn.position = lines.decode_position(rest.partition(" ")[2])
-    except BaseException:
-        writer.close()
-        raise
+    conn = DatabaseConnection(stream)
+    await conn.start(database, workspace)
     return conn
 
 
--- a/dragonflywing/standin/faults.py
+++ b/dragonflywing/standin/faults.py
@@ -82,7 +82,8 @@
         writer.close()
 
 
-async def _serve_link(state, reader, writer):
+async def serve_link(state, reader, writer):
+    """Forward one accepted connection of a link."""
     state.writers.add(writer)
     try:
         if state.mode == "cut":
@@ -138,7 +139,7 @@
         host, port = state.link.listen.rsplit(":", 1)
 
         def accept(reader, writer, state=state):
-            return _serve_link(state, reader, writer)
+            return serve_link(state, reader, writer)
 
         servers.append(await asyncio.start_server(accept, host, int(port)))
     app = web.Application(client_max_size=4 * 1024 * 1024)
--- a/test/test_homes.py
+++ b/test/test_homes.py
@@ -1,6 +1,12 @@
 """Tests of a database's home: connection limits, session state, slots."""
 
 import asyncio
+import contextlib
+import random
+import socket
+import struct
+
+import pytest
 
 from dragonflywing import outcomes
 from dragonflywing.deployment import Database
@@ -154,6 +160,106 @@
         assert adapter.ran == ["BEGIN", "READ t1", "ROLLBACK"]
 
 
+class ScriptedDatabase:
+    """A database on a loopback socket; the answer to STATUS tells how many came."""
+
+    def __init__(self):
+        self.answer_s = 0.0
+        self.asked = 0
+        self.writers = []
+
+    async def start(self):
+        """Accept connections; return a Home of the database."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        database = Database("db", "group", host, port, "duluth-a", 2, False, True, 1)
+        return Home(database, 16, databases, Metrics())
+
+    async def _serve(self, reader, writer):
+        self.writers.append(writer)
+        with contextlib.suppress(OSError, EOFError):
+            await reader.readuntil(b"\r\n")
+            writer.write(b"READY I 1.1\r\n")
+            while line := await reader.readuntil(b"\r\n"):
+                self.asked += "STATUS" in line.decode()
+                row = f"DATAROW primary 1 1.{self.asked} 0 0 0 1\r\n"
+                await asyncio.sleep(self.answer_s)
+                if writer.is_closing():
+                    return
+                writer.write(f"{row}COMPLETE -\r\nREADY I 1.1\r\n".encode())
+
+    def reset_connections(self):
+        """Reset all connections."""
+        for writer in self.writers:
+            if writer.is_closing():
+                continue
+            sock = writer.get_extra_info("socket")
+            reset = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+            writer.transport.abort()
+        self.writers.clear()
+
+
+class TestControlConnection:
+    def test_a_cancelled_statement_does_not_answer_the_next_one(self):
+        # STALE: floors were confirmed by the answers of earlier queries.
+        run(self._cancel())
+
+    async def _cancel(self):
+        database = ScriptedDatabase()
+        home = await database.start()
+        assert (await home.command("STATUS")).received.index == 1
+        database.answer_s = 0.1
+        cancelled = asyncio.create_task(home.command("STATUS"))
+        await asyncio.sleep(0.05)
+        cancelled.cancel()
+        await asyncio.wait({cancelled})
+        await asyncio.sleep(0.1)
+        assert (await home.command("STATUS")).received.index == 3
+
+    def test_is_replaced_after_a_reset_while_it_was_idle(self):
+        # RECOVER: all reads on primary routes were refused from then on.
+        run(self._reset())
+
+    async def _reset(self):
+        database = ScriptedDatabase()
+        home = await database.start()
+        assert await home.command("STATUS") is not None
+        database.reset_connections()
+        await asyncio.sleep(0.05)
+        answers = [await home.command("STATUS") for _ in range(2)]
+        assert answers[-1] is not None
+
+
+class TestCountedConnections:
+    """RECOVER: connections that were lost stayed counted, until none was left."""
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_are_those_that_are_open(self, seed):
+        run(self._check(random.Random(seed)))
+
+    async def _check(self, rng):
+        database = ScriptedDatabase()
+        home = await database.start()
+        tasks = []
+        for number in range(250):
+            database.answer_s = rng.choice([0, 0, 0.002, 0.02])
+            timeout = rng.choice([0.005, 0.5])
+            req = request(f"r{number}", timeout=timeout)
+            tasks.append(asyncio.create_task(home.run(req, None, None)))
+            await asyncio.sleep(rng.choice([0, 0.001, 0.005]))
+            if rng.random() < 0.5:
+                rng.choice(tasks).cancel()
+            if rng.random() < 0.1:
+                database.reset_connections()
+            for pooled in home.idle:
+                pooled.used_at -= rng.choice([0, 2.0])  # idle for long, so validated
+        await asyncio.wait(tasks)
+        await asyncio.sleep(1.0)
+        assert not home._tasks
+        assert home.total == len(home.idle) == home.by_workspace.get("press", 0)
+
+
 class TestUnreachableDatabase:
     def test_statements_fail_at_once_after_one_connect(self):
         run(self._run_repeatedly())
