--- a/dragonflywing/decisions/fences.py
+++ b/dragonflywing/decisions/fences.py
@@ -39,12 +39,15 @@
     """The waiters and the round in flight of one group.
 
     `active_waiters` are served by the round in flight, `next_waiters` by the one
-    after it. `unanswered` holds the databases that have not answered the round.
+    after it. The round asks `asked`, of which `unanswered` have not answered, and
+    needs `asked_quorum` of them; the next one asks `databases`.
     """
 
     def __init__(self, databases, quorum=None):
         self.databases = tuple(databases)
         self.quorum = quorum
+        self.asked = ()
+        self.asked_quorum = None
         self.round_id = 0
         self.next_waiters = []
         self.active_waiters = []
@@ -68,11 +71,12 @@
     state.round_id += 1
     state.active_waiters = state.next_waiters
     state.next_waiters = []
-    state.unanswered = set(state.databases)
+    state.asked, state.asked_quorum = state.databases, state.quorum
+    state.unanswered = set(state.asked)
     state.statuses = []
     state.asked_at = now
     state.deadline = now + timeout_s
-    return [Query(state.round_id, name) for name in state.databases]
+    return [Query(state.round_id, name) for name in state.asked]
 
 
 def handle_status(state, now, round_id, database, status, timeout_s):
@@ -82,7 +86,7 @@
     state.unanswered.discard(database)
     if status is not None:
         state.statuses.append(status)
-    primary = confirmed_primary(state.statuses, len(state.databases), state.quorum)
+    primary = confirmed_primary(state.statuses, len(state.asked), state.asked_quorum)
     if primary is None:
         return _refuse_round(state, now, timeout_s) if not state.unanswered else []
     granted = [
--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -21,7 +21,7 @@
     intersecting_quorum,
 )
 from dragonflywing.homes import Home
-from dragonflywing.supervisor import spawn
+from dragonflywing.supervisor import note_failure, spawn
 
 # How long a database that is no longer listed still counts as able to
 # acknowledge writes: three missed reports and the store's delay.
@@ -295,16 +295,17 @@
     async def fence(self, group):
         """Return the primary's position, confirmed after this call, or None."""
         state = self.state(group)
-        names = self.quorum_names(group)
-        if state.fences is None or set(state.fences.databases) != names:
-            if state.fences is None or not state.fences.active_waiters:
-                state.fences = fences.FenceState(names)
+        if state.fences is None:
+            state.fences = fences.FenceState(())
+        # A round in flight goes on with the databases that it has asked.
+        state.fences.databases = tuple(self.quorum_names(group))
         state.fences.quorum = self.quorum(group)
         self._next_waiter += 1
         waiter = self._next_waiter
         fut = asyncio.get_running_loop().create_future()
         self._waiters[waiter] = fut
         now = boottime()
+        self._apply_messages(state, fences.expire(state.fences, now, FENCE_TIMEOUT_S))
         self._apply_messages(
             state, fences.add_waiter(state.fences, now, waiter, FENCE_TIMEOUT_S)
         )
@@ -336,9 +337,9 @@
         The primary and as many replicas as the quorum needs are queried first.
         Replicas that recently did not answer come last in this order.
         """
-        others = [item for item in state.fences.databases if item != state.primary]
+        others = [item for item in state.fences.asked if item != state.primary]
         others.sort(key=lambda item: (self._unresponsive_until.get(item, 0.0), item))
-        count = max(0, (state.fences.quorum or 1) - 1)
+        count = max(0, (state.fences.asked_quorum or 1) - 1)
         return name == state.primary or name in others[:count]
 
     async def _query(self, state, query):
@@ -351,12 +352,15 @@
             if done:
                 return
         self.metrics.count("fence.query")
+        reported, status = None, None
         try:
             async with asyncio.timeout(FENCE_TIMEOUT_S):
                 reported = await self.status_of(query.database)
         except TimeoutError:
-            reported = None
-        status = None
+            pass
+        except Exception as exc:
+            # The round must end whatever went wrong, or no other one begins.
+            note_failure("fence", exc, self.metrics)
         if reported is not None:
             self.note_status(query.database, reported)
         if query.database in self.reborn:
--- a/test/test_groups.py
+++ b/test/test_groups.py
@@ -1,8 +1,12 @@
 """Tests of which databases count for a quorum, and of restarted databases."""
 
+import asyncio
+
+from dragonflywing.decisions.positions import Position
 from dragonflywing.deployment import Database
 from dragonflywing.groups import Groups
 from dragonflywing.metrics import Metrics
+from dragonflywing.ports import DatabaseStatus
 from test.helper import run
 
 
@@ -93,3 +97,50 @@
             assert groups.quorum("orders") == 2
 
         run(check())
+
+
+class TestFences:
+    def group(self, status_of):
+        """Return Groups with one group of two databases, whose statuses are given."""
+        groups = Groups(None, Metrics())
+        groups.note_database(database("a", is_primary=True))
+        groups.note_database(database("b"))
+        groups.status_of = status_of
+        return groups
+
+    def test_go_on_after_a_query_that_fails_in_an_unexpected_way(self):
+        # RECOVER: after one RuntimeError no fence was granted any more.
+        async def check():
+            failures = [RuntimeError("the handler is closed")] * 2
+
+            async def status_of(name):
+                if failures:
+                    raise failures.pop()
+                return DatabaseStatus(name == "a", 1, Position(1, 5), 0, 0.0, 0, 1)
+
+            groups = self.group(status_of)
+            assert await groups.fence("orders") is None
+            assert await groups.fence("orders") == (1, 5)
+            assert groups.metrics.counters["task.failed.fence"] == 2
+
+        run(check())
+
+    def test_ask_new_databases_though_there_are_always_waiters(self):
+        async def check():
+            asked = []
+
+            async def status_of(name):
+                asked.append(name)
+                await asyncio.sleep(0.01)
+                return DatabaseStatus(name == "a", 1, Position(1, 5), 0, 0.0, 0, 1)
+
+            groups = self.group(status_of)
+            waiting = [asyncio.create_task(groups.fence("orders"))]
+            await asyncio.sleep(0)
+            for name in ("c", "d"):
+                groups.note_database(database(name))
+            waiting.append(asyncio.create_task(groups.fence("orders")))
+            assert await asyncio.gather(*waiting) == [(1, 5)] * 2
+            assert set(asked) > {"a", "b"}
+
+        run(check())
