--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -89,7 +89,7 @@
         self.links = {}
         self.last_contact_at = {}
         self.leaving_peers = set()
-        self.leaving = False
+        self.stop = None  # the stopping.Stop of this instance once it has begun
         self.answered = set()  # peers that answered an exchange since they registered
         self._current_partners = set()  # the partners of the latest round
         self._member_added = asyncio.Event()
@@ -191,9 +191,14 @@
         self.leaving_peers.discard(instance)
         self.answered.discard(instance)
 
-    def leave(self):
-        """Mark this instance as leaving; it becomes the home of no database."""
-        self.leaving = True
+    @property
+    def leaving(self):
+        """Whether this instance is being stopped."""
+        return self.stop is not None
+
+    def leave(self, stop):
+        """Note this instance's Stop; it becomes the home of no database."""
+        self.stop = stop
         self._liveness = None
 
     def note_leaving(self, instances):
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -10,7 +10,7 @@
 from dragonflywing import gauges, logs, supervisor
 from dragonflywing.clock import boottime
 from dragonflywing.cluster import ERA_KEY, MEMBER_PREFIX, MEMBER_RESTORE_S, Cluster
-from dragonflywing.decisions import division, floors
+from dragonflywing.decisions import division, floors, stopping
 from dragonflywing.directory import Directory
 from dragonflywing.errors import UserError
 from dragonflywing.exchange import Exchange
@@ -32,9 +32,7 @@
 # the fleet's rates.
 SETTLING_S = 10.0
 TICK_INTERVAL_S = 0.1  # for queues, demand and idle connections
-# Pause after SIGTERM: the balancer takes two failed probes, one a second, to notice.
-BALANCER_NOTICE_S = 2.2
-EXIT_MARGIN_S = 0.8  # left before SIGKILL for the last answers and the store
+DRAIN_POLL_S = 0.02  # far below what a caller notices
 # How long a caller that connects during the start waits; callers time out after 2 s.
 START_WAIT_S = 1.2
 # How much longer than the operation's own wait a relay may take to answer.
@@ -361,20 +359,20 @@
     async def _drain(self, callers):
         """Leave the balancer's rotation, then wait for sessions and transactions."""
         logs.event("draining", sessions=len(callers.connections))
-        self.cluster.leave()
-        started_at = self.now()
+        stop = stopping.Stop(self.now(), self.settings.shutdown_s)
+        self.cluster.leave(stop)
         await self.replacer.release_duty()
-        end = started_at + self.settings.shutdown_s - EXIT_MARGIN_S
-        await asyncio.sleep(BALANCER_NOTICE_S)
+        while not stopping.closes_idle_sessions(stop, self.now()):
+            await asyncio.sleep(DRAIN_POLL_S)
         callers.stop_listening()
-        while self.now() < end:
+        while self.now() < stop.exit_at():
             for conn in list(callers.connections):
                 if conn.is_idle():
                     conn.close()
             homes = self.groups.homes.values()
             if not callers.connections and not any(h.transactions for h in homes):
                 break
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(DRAIN_POLL_S)
         await self.cluster.withdraw()
         logs.event("drained", left=len(callers.connections))
 
--- a/dragonflywing/router.py
+++ b/dragonflywing/router.py
@@ -5,7 +5,7 @@
 import random
 
 from dragonflywing import logs, outcomes
-from dragonflywing.decisions import placing
+from dragonflywing.decisions import placing, stopping
 from dragonflywing.decisions.positions import Position
 from dragonflywing.links import LinkLost, idl, pack, unpack
 from dragonflywing.ports import Answer, DatabaseStatus
@@ -130,6 +130,12 @@
             )
         if not req.transaction and not self.groups.accepts_requests(req.database):
             return self._leaving(), "", own_instance
+        if req.transaction and not stopping.accepts_statement(
+            self.cluster.stop, self.now(), req.timeout
+        ):
+            home.roll_back(req.transaction)
+            text = "the database's home is stopping, rolled back"
+            return self.failure(outcomes.ABORTED, text), "", own_instance
         floor = Position(req.floor_term, req.floor_index)
         if req.max_age >= 0 and not req.transaction:
             position = await self._floor(home.database.group, req.max_age)
--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from dragonflywing import logs, outcomes
-from dragonflywing.decisions import retries
+from dragonflywing.decisions import retries, stopping
 from dragonflywing.decisions.positions import Position
 from dragonflywing.errors import Verdict
 
@@ -25,6 +25,8 @@
 # Fraction of a statement's remaining time that it may wait for a known primary.
 PRIMARY_WAIT_FRACTION = 0.6
 
+# Kinds of operations that may reach a database or begin a transaction.
+FORWARDED_KINDS = ("begin", "begin_read", "commit", "read", "write", "execute")
 # The workspace of callers without a key, on open routes.
 OPEN_WORKSPACE = "public"
 # Fraction of the route's target time that an operation may wait for its rate limit.
@@ -130,8 +132,38 @@
                 outcomes.MALFORMED,
                 "the transaction has failed",
             )
+        if self._is_forwarded(op) and not self._has_time(op.kind):
+            return self._refuse_stopping(op)
         return await self._handlers()[op.kind](op)
 
+    def _is_forwarded(self, op):
+        return op.kind in FORWARDED_KINDS and not self.failed
+
+    def _has_time(self, kind):
+        """Return whether an instance that is stopping accepts a statement."""
+        stop, now = self.node.cluster.stop, self.node.now()
+        if stop is None or self.check_access():
+            return True
+        if kind in ("begin", "begin_read"):
+            return not stopping.closes_idle_sessions(stop, now)
+        limit_s = self.route().timeout_s
+        if self.transaction is None:
+            limit_s += self._max_rate_wait_s()
+        return stopping.accepts_statement(stop, now, limit_s)
+
+    def _refuse_stopping(self, op):
+        self.node.metrics.count("refused.stopping")
+        if self.transaction is None:
+            text = "the instance is stopping, not run, retry at once"
+            return self._reply(
+                *self._log_refusal(op.statement_id, outcomes.OVERLOADED, text)
+            )
+        text = "the instance is stopping, rolled back, retry at once"
+        self._log_refusal(op.statement_id, outcomes.ABORTED, text)
+        self.roll_back()
+        self.failed = op.kind != "commit"
+        return self._reply(outcomes.ABORTED, text)
+
     def _handlers(self):
         return {
             "begin": self._begin,
@@ -237,13 +269,15 @@
             return self._log_refusal(statement_id, code, "route or key")
         if self.workspace == OPEN_WORKSPACE:
             return None
-        max_wait_s = RATE_WAIT_FRACTION * self.route().target_s
-        wait_s = await self.node.admit(self.workspace, max_wait_s)
+        wait_s = await self.node.admit(self.workspace, self._max_rate_wait_s())
         if wait_s > 0:
             text = f"over the rate, not run, retry in {int(wait_s * 1000) + 1} ms"
             return self._log_refusal(statement_id, outcomes.OVERLOADED, text)
         return None
 
+    def _max_rate_wait_s(self):
+        return RATE_WAIT_FRACTION * self.route().target_s
+
     def _log_refusal(self, statement_id, code, text):
         self.node.metrics.count(f"refused.{code}")
         logs.event(
@@ -281,11 +315,15 @@
             priority=self.route().priority,
         )
 
+    def _deadline(self, route):
+        """Return when a statement that is forwarded now must have ended."""
+        end = self.node.now() + route.timeout_s
+        return stopping.deadline(self.node.cluster.stop, end)
+
     async def _forward_in_transaction(self, op, kind, text, prepared):
         transaction = self.transaction
-        req = self._request(
-            op, kind, text, prepared, transaction.database, self.route().timeout_s
-        )
+        remaining_s = self._deadline(self.route()) - self.node.now()
+        req = self._request(op, kind, text, prepared, transaction.database, remaining_s)
         req.transaction = transaction.handle
         answer, handle, _ = await self.node.router.run_at(transaction.home, req)
         if handle:
@@ -299,7 +337,7 @@
 
     async def _forward_with_retries(self, op, kind, text, prepared):
         route = self.route()
-        deadline = self.node.now() + route.timeout_s
+        deadline = self._deadline(route)
         opened_for_writes = (
             self.transaction is not None and not self.transaction.is_read_only
         )
--- a/dragonflywing/standin/platform_database.py
+++ b/dragonflywing/standin/platform_database.py
@@ -84,6 +84,7 @@
         self.connections_opened = 0
         self.slots = asyncio.Semaphore(slots)
         self.answers_to_drop = 0
+        self.work_s = STATEMENT_S
         self.address = None
         self._server = None
         group.databases[name] = self
@@ -234,7 +235,7 @@
 
     async def _read(self, query, rest):
         async with self.database.slots:
-            await asyncio.sleep(STATEMENT_S)
+            await asyncio.sleep(self.database.work_s)
         statement_id, data = self.database.value(rest)
         for own_id, name, own_data in self.writes:
             if name == rest:
@@ -248,7 +249,7 @@
             return "READONLY"
         item, _, data = rest.partition(" ")
         async with self.database.slots:
-            await asyncio.sleep(STATEMENT_S)
+            await asyncio.sleep(self.database.work_s)
         self.writes.append((query.statement_id, item, data))
         self._record_executed(query)
         if self.state == lines.IDLE:
--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -1,6 +1,8 @@
 """Requests from callers to databases on the stand-in platform, with processes."""
 
 import asyncio
+import itertools
+import random
 import re
 import signal
 
@@ -400,6 +402,49 @@
             other = await deployment.connect("front-1", "orders")
             assert (await other.query("READ b"))[1][0].endswith(":2")
 
+    def test_cuts_no_statement_that_a_database_runs(self, tmp_path):
+        # LOST: at the end of a planned stop such statements got no answer.
+        run(self._check_transactions(tmp_path))
+
+    async def _check_transactions(self, tmp_path):
+        async with deployed(tmp_path, 2) as deployment:
+            for database in deployment.group.databases.values():
+                database.work_s = 0.09
+            rng = random.Random(1)
+            cut, aborted = [], []
+
+            async def run_transactions(number):
+                caller = await deployment.connect("front-0", "marks")
+                for count in itertools.count():
+                    code = (await caller.query("BEGIN READ"))[0]
+                    for item in range(10):
+                        await asyncio.sleep(rng.uniform(0.3, 0.6))
+                        statement_id = f"{number}.{count}.{item}"
+                        try:
+                            code = (await caller.query("READ a", statement_id))[0]
+                        except (AssertionError, OSError):
+                            cut.append(statement_id)
+                            return
+                        if code:
+                            aborted.append(code)
+                            break
+                    await caller.query("ROLLBACK")
+
+            tasks = [asyncio.create_task(run_transactions(n)) for n in range(12)]
+            await asyncio.sleep(1)
+            deployment.processes["front-0"].send_signal(signal.SIGTERM)
+            assert (
+                await asyncio.wait_for(deployment.processes["front-0"].wait(), 6) == 0
+            )
+            await asyncio.wait(tasks)
+            await asyncio.sleep(0.3)  # the databases end what they run
+            executed = {
+                statement_id for _, statement_id, *_ in deployment.group.executed
+            }
+            assert not executed & set(cut)
+            # Those that are still open are told that nothing is kept.
+            assert "ABORTED" in aborted
+
 
 class TestRelays:
     """A fleet large enough that instances exchange known state through relays."""
