--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -3,7 +3,8 @@
 One instance confirms the configuration with the store. The others receive its
 version and the age of its confirmation in exchanges, and fetch a newer version
 from the instance that reports it. Entries of databases come from the store or, in
-a large fleet, from the data centre's relay.
+a large fleet, from the data centre's relay. The confirmation covers them too, so
+that an instance whose watches have gone silent learns of changes all the same.
 """
 
 import asyncio
@@ -55,6 +56,8 @@
             ports.store, ports.database_prefix, self._apply_entries, metrics
         )
         self.entries.hold_s = self._hold_s
+        groups.entries_age = self.confirmation_age
+        self.followers = [self.entries]  # the copies that a confirmation covers
         self.on_configuration = None
         self._compressed = b""
         self._fetching = False
@@ -167,7 +170,7 @@
         return rank == 0 or self.cfg is None or is_stale
 
     async def _ask_store(self):
-        """Confirm the configuration in force with the store, or read a newer one.
+        """Confirm the configuration and the entries with the store, or read newer ones.
 
         Only changes are transferred. The value may be large, so reading all of it
         each time would take the link from the calls that keep leases.
@@ -196,6 +199,7 @@
         is_current = item is None or (
             item.value is not None and self._apply_configuration(item.value, "store")
         )
+        await asyncio.gather(*[x.catch_up(revision) for x in self.followers])
         # The answer itself may have told of a later era.
         if is_current and is_settled and self._is_settled():
             self.confirm(self.version(), asked_at, revision)
--- a/dragonflywing/following.py
+++ b/dragonflywing/following.py
@@ -11,6 +11,9 @@
 RETRY_S = 0.4
 # Greatest pause between attempts while the store is away.
 MAX_RETRY_S = 1.6
+# A watch that doesn't report a change this long after it became known in another way
+# is on a connection that has gone silent, and is begun again.
+WATCH_LATE_S = 0.5
 # How often an instance that receives changes from others checks whether it still
 # does.
 CHECK_INTERVAL_S = 0.2
@@ -39,6 +42,8 @@
         self.replica = replicas.Replica()
         self.has_list = False
         self._must_list = True  # whether changes may have been missed
+        self._polled = eras.ABSENT  # the revision up to which it has caught up
+        self._watching = None  # the timeout of the watch that is waiting
         self.hold_s = lambda key: replicas.RESTORE_S
         self.is_served = lambda: False
         self.batch_s = lambda: 0.0
@@ -63,8 +68,38 @@
                 known=self.replica.revision,
             )
         if items:
+            self._expect_report(WATCH_LATE_S)
             self.on_items(items)
 
+    def complete_to(self):
+        """Return the revision up to which this copy has all changes."""
+        return max(self._polled, self.replica.revision)
+
+    async def catch_up(self, revision):
+        """Apply the changes up to a revision of the store, whatever the watch does.
+
+        A watch may wait on a connection that has gone silent. Nothing is asked if no
+        change is missing.
+        """
+        if not self.has_list or self.complete_to() >= revision:
+            return
+        try:
+            items, revision = await self.store.watch(
+                self.prefix, self.complete_to(), 0.0
+            )
+        except (HistoryLost, StoreError):
+            self._expect_report(0.0)
+            await self._read_list(may_be_old=False)
+            return
+        if items:
+            self.apply(replicas.Changes(False, revision, items))
+        self._polled = max(self._polled, revision)
+
+    def _expect_report(self, seconds):
+        """Let the watch that is waiting end after a time at the latest."""
+        if self._watching is not None and self._watching.when() is None:
+            self._watching.reschedule(self._now() + seconds)
+
     def expire(self):
         """Apply deletions that were held back long enough."""
         items = replicas.expire(self.replica, self._now())
@@ -109,9 +144,18 @@
             raise StoreError(f"list {self.prefix}: older than the copy", False)
 
     async def _watch(self):
-        items, revision = await self.store.watch(
-            self.prefix, self.replica.revision, WATCH_S
-        )
+        try:
+            async with asyncio.timeout(None) as self._watching:
+                items, revision = await self.store.watch(
+                    self.prefix, self.replica.revision, WATCH_S
+                )
+        except TimeoutError:
+            self.metrics.count("store.watch_silent")
+            # Other connections may have gone silent too.
+            self.store.drop_idle_connections()
+            raise StoreError(f"watch {self.prefix}: silent", True) from None
+        finally:
+            self._watching = None
         self.apply(replicas.Changes(False, revision, items))
         if items:
             await asyncio.sleep(self.batch_s())
--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -28,7 +28,7 @@
 UNLISTED_COUNTED_S = 6.0
 FENCE_TIMEOUT_S = 0.6  # a round trip to the farthest database and a wait for a slot
 # Subtracted from the time after which a leaving database receives no requests, for
-# the way of its entry to this instance and for a statement's wait in a queue.
+# a statement's way to the database and its wait in a queue.
 DRAIN_MARGIN_S = 1.5
 # A round queries the remaining databases if the first ones have not answered after
 # this time: a round trip between regions and a wait for a slot.
@@ -71,7 +71,10 @@
         self.metrics = metrics
         self.drain_s = drain_s
         self.databases = {}
-        self._leaving_since = {}  # when each leaving database was first seen so
+        # When each leaving database may have reported so, by the clock of ages.
+        self._leaving_since = {}
+        # The age of the latest confirmation that all entries of databases are known.
+        self.entries_age = lambda: math.inf
         self._left = {}  # the start time of databases that left, oldest first
         self._by_group = {}  # {group: {name: Database}}, the listed databases
         self.unlisted = {}
@@ -116,7 +119,9 @@
         self._by_group.setdefault(database.group, {})[database.name] = database
         self.unlisted.pop(database.name, None)
         if database.is_leaving:
-            self._leaving_since.setdefault(database.name, self._now())
+            # It may have reported at any time since the entries were confirmed.
+            since = boottime() - self.entries_age()
+            self._leaving_since.setdefault(database.name, since)
         else:
             self._leaving_since.pop(database.name, None)
         if old is not None and old.born != database.born:
@@ -174,7 +179,7 @@
         if name not in self.databases:
             return False
         since = self._leaving_since.get(name)
-        return since is None or self._now() - since < self.drain_s - DRAIN_MARGIN_S
+        return since is None or boottime() - since < self.drain_s - DRAIN_MARGIN_S
 
     def members(self, group):
         """Return the listed databases of a group."""
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -58,6 +58,7 @@
         shared_args = (settings, ports, self.groups, self.cluster, metrics)
         self.directory = Directory(*shared_args)
         self.directory.on_configuration = self._apply_limits
+        self.directory.followers.append(self.cluster.keys)
         self.router = Router(*shared_args)
         self.groups.status_of = self.router.status_of
         self.division = division.DivisionState()
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -78,6 +78,10 @@
         """Close all connections."""
         self._http.close()
 
+    def drop_idle_connections(self):
+        """Drop the connections that no call uses."""
+        self._http.close()
+
     async def _call(self, method, path, body=None, timeouts=CALL_TIMEOUTS, **query):
         self.metrics.count("store.calls")
         try:
--- a/test/helper.py
+++ b/test/helper.py
@@ -8,6 +8,7 @@
 import uvloop
 
 from dragonflywing.load.deployment import Deployment, Plan, key_of
+from dragonflywing.standin.faults import Link, LinkState, serve_link
 
 SMALL = Plan(
     name="small",
@@ -29,6 +30,38 @@
         return runner.run(coroutine)
 
 
+class Network:
+    """A way to a server on this machine, which a test can cut or silence."""
+
+    def __init__(self, port):
+        self._link = Link("network", "", f"127.0.0.1:{port}")
+        self._state = LinkState(self._link)
+        self.port = None
+
+    async def start(self):
+        """Accept connections and forward them; return this object."""
+
+        async def forward(reader, writer):
+            await serve_link(self._state, reader, writer)
+
+        self._server = await asyncio.start_server(forward, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    def cut(self):
+        """Hold all bytes until `heal`, unless their sender resets the connection."""
+        self._state.set_mode("freeze")
+
+    def heal(self):
+        """Deliver what was held."""
+        self._state.set_mode("ok")
+
+    def silence(self):
+        """Let the open connections go silent for good; new ones work."""
+        self.cut()
+        self._state = LinkState(self._link)
+
+
 class AdvancingSelector(selectors.DefaultSelector):
     """A selector that never blocks; it advances a simulated clock instead.
 
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -19,6 +19,7 @@
 from dragonflywing.platform import lines
 from dragonflywing.standin import platform_store
 from dragonflywing.standin.platform_database import StandinDatabase, StandinGroup
+from test.helper import Network
 
 DATA_CENTRES = ("duluth-a", "buffalo-a", "sault-a")
 ROUTES = {
@@ -88,11 +89,15 @@
         self.callers = {}
         self.logs = {}
         self.ports = PortPool()
+        self.network = None
         self._ports = {}
         self._tasks = []
 
-    async def start(self, folder):
-        """Start everything and wait until all instances are ready."""
+    async def start(self, folder, through_network=False):
+        """Start everything and wait until all instances are ready.
+
+        The instances reach the store through `network` if `through_network` is set.
+        """
         self.folder = folder
         app = platform_store.make_app(self.platform)
         runner = web.AppRunner(app, shutdown_timeout=0.1)
@@ -101,6 +106,9 @@
         port = self.ports.take()
         await web.TCPSite(runner, "127.0.0.1", port).start()
         self.store_port = port
+        if through_network:
+            self.network = await Network(port).start()
+            self.store_port = self.network.port
         self._tasks.append(asyncio.create_task(self.platform.expire()))
         for number, data_centre in enumerate(DATA_CENTRES):
             database = StandinDatabase(self.group, f"db-{number}", number == 0)
--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -12,7 +12,7 @@
 from dragonflywing.standin import platform_store
 from dragonflywing.standin.platform_database import StandinDatabase
 from test.helper import run
-from test.platform.deployment import DATA_CENTRES, DRAIN_MS, deployed
+from test.platform.deployment import DATA_CENTRES, DRAIN_MS, Deployment, deployed
 
 RECOVERY_S = 12  # within which the users expect service after a stop of everything
 
@@ -356,6 +356,32 @@
             assert refused > 0
 
 
+class TestSilentStoreConnections:
+    def test_do_not_hide_a_leaving_database(self, tmp_path):
+        # DRAIN: watches on connections that had gone silent told nothing for 25 s.
+        run(self._check(tmp_path))
+
+    async def _check(self, tmp_path):
+        deployment = Deployment(3)
+        try:
+            await deployment.start(str(tmp_path), through_network=True)
+            readers = [
+                await deployment.connect(f"front-{number}", "marks")
+                for number in range(3)
+            ]
+            await deployment.count_executed(readers, 1.0, 0.02)
+            deployment.network.silence()
+            database = deployment.group.databases["db-1"]
+            deployment.put_database_entry(database, DATA_CENTRES[1], "draining")
+            await deployment.count_executed(readers, DRAIN_MS / 1000, 0.02)
+            before = len(deployment.group.executed)
+            await deployment.count_executed(readers, 2.0, 0.02)
+            used = {name for name, *_ in deployment.group.executed[before:]}
+            assert used and "db-1" not in used
+        finally:
+            await deployment.stop()
+
+
 class TestCallersThatLeave:
     """Callers that reset their connection while their start is awaited."""
 
--- a/test/test_following.py
+++ b/test/test_following.py
@@ -25,6 +25,7 @@
         self.lists = lists
         self.watches = watches
         self.calls = []
+        self.drop_idle_connections = lambda: None
 
     async def _next(self, call, results):
         self.calls.append(call)
@@ -67,6 +68,46 @@
 ITEM = StoredItem("p/a", b"1", at(3))
 
 
+class TestSilentWatches:
+    """DRAIN: a watch on a connection that has gone silent hid a leaving database."""
+
+    NEW = StoredItem("p/b", b"1", at(8))
+
+    def test_miss_no_change_that_the_store_tells_another_call(self):
+        async def check():
+            # The first watch never ends.
+            store = ScriptedStore([([ITEM], at(3))], [])
+            follower = Follower(store, "p/", lambda items: None, Metrics())
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(0.1)
+            store.watches.append(([self.NEW], at(9)))
+            await follower.catch_up(at(9))
+            assert set(follower.replica.items) == {"p/a", "p/b"}
+            # It is begun again, as it should have reported the change by now.
+            await asyncio.sleep(2)
+            assert store.calls == ["old list", "watch 3", "watch 3", "watch 9"]
+            # A revision that other keys have moved isn't asked for twice.
+            await follower.catch_up(at(9))
+            assert len(store.calls) == 4
+            task.cancel()
+
+        run_on_simulated_clock(check())
+
+    def test_are_replaced_by_a_list_if_the_history_is_lost(self):
+        async def check():
+            store = ScriptedStore([([ITEM], at(3))], [])
+            follower = Follower(store, "p/", lambda items: None, Metrics())
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(0.1)
+            store.watches.append(HistoryLost("p/"))
+            store.lists.append(([self.NEW], at(9)))
+            await follower.catch_up(at(9))
+            assert set(follower.replica.items) == {"p/b"}
+            task.cancel()
+
+        run_on_simulated_clock(check())
+
+
 class TestFollower:
     def test_watches_from_the_newest_key_of_a_list_that_may_be_old(self):
         # The store may have reached revision 9 after the list was current.
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -14,9 +14,7 @@
 from dragonflywing.groups import Groups
 from dragonflywing.links import Link, LinkLost, LinkServer, idl
 from dragonflywing.metrics import Metrics
-from dragonflywing.standin import faults
-from dragonflywing.standin.faults import LinkState, serve_link
-from test.helper import run
+from test.helper import Network, run
 
 
 class TestCalls:
@@ -236,16 +234,10 @@
             server = LinkServer(handle, lambda origin: None, Metrics())
             await server.start("127.0.0.1", 0)
             port = server._server.sockets[0].getsockname()[1]
-            state = LinkState(faults.Link("peer", "", f"127.0.0.1:{port}"))
-
-            async def forward(reader, writer):
-                await serve_link(state, reader, writer)
-
-            proxy = await asyncio.start_server(forward, "127.0.0.1", 0)
-            link = Link(*proxy.sockets[0].getsockname())
+            network = await Network(port).start()
+            link = Link("127.0.0.1", network.port)
             assert await link.call("echo", b"x", 1.0) == b"x"
-            state.set_mode("freeze")
-            state = LinkState(state.link)  # new connections work
+            network.silence()
             started_at = asyncio.get_running_loop().time()
             answer = None
             while answer is None:
@@ -254,7 +246,6 @@
             assert asyncio.get_running_loop().time() - started_at < 2.0
             link.close()
             server.close()
-            proxy.close()
 
         run(check())
 
--- a/test/test_streams.py
+++ b/test/test_streams.py
@@ -7,16 +7,15 @@
 import pytest
 
 from dragonflywing import streams
-from dragonflywing.standin.faults import Link, LinkState, serve_link
-from test.helper import run
+from test.helper import Network, run
 
 
 class Recorder:
-    """A server that records the bytes it receives, behind a link that can freeze."""
+    """A server that records the bytes it receives through a Network."""
 
     def __init__(self):
         self.received = b""
-        self.state = LinkState(Link("", "", ""))
+        self.network = None
 
     async def _serve(self, reader, writer):
         with contextlib.suppress(OSError):
@@ -24,17 +23,12 @@
                 self.received += data
         writer.close()
 
-    async def start(self):
-        """Return the link's address."""
+    async def connect(self):
+        """Return a Stream to the server."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.state.link = Link("recorder", "", f"{host}:{port}")
-
-        async def forward(reader, writer):
-            await serve_link(self.state, reader, writer)
-
-        self._proxy = await asyncio.start_server(forward, "127.0.0.1", 0)
-        return self._proxy.sockets[0].getsockname()
+        port = self._server.sockets[0].getsockname()[1]
+        self.network = await Network(port).start()
+        return await streams.connect("127.0.0.1", self.network.port)
 
 
 class TestDroppedConnections:
@@ -46,10 +40,10 @@
 
     async def _check(self, ending):
         recorder = Recorder()
-        stream = await streams.connect(*await recorder.start())
+        stream = await recorder.connect()
         stream.write(b"before ")
         await asyncio.sleep(0.1)
-        recorder.state.set_mode("freeze")
+        recorder.network.cut()
 
         async def call():
             with stream.call():
@@ -68,14 +62,14 @@
                 async with asyncio.timeout(0.05):
                     await call()
         await asyncio.sleep(0.05)
-        recorder.state.set_mode("ok")
+        recorder.network.heal()
         await asyncio.sleep(0.2)
         assert recorder.received == b"before "
         assert not stream.is_usable()
 
     def test_raise_an_os_error_for_writes(self):
         async def check():
-            stream = await streams.connect(*await Recorder().start())
+            stream = await Recorder().connect()
             stream.drop()
             await asyncio.sleep(0.01)
             with pytest.raises(ConnectionResetError):
@@ -85,7 +79,7 @@
 
     def test_are_reset_if_the_process_ends(self):
         async def check():
-            stream = await streams.connect(*await Recorder().start())
+            stream = await Recorder().connect()
             sock = stream._writer.get_extra_info("socket")
             linger = sock.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
             assert linger == streams._RESET_ON_CLOSE
