--- a/dragonflywing/http.py
+++ b/dragonflywing/http.py
@@ -19,7 +19,11 @@
 
 
 class HttpError(Exception):
-    """A call got no complete answer; it may have been executed."""
+    """A call got no complete answer; it may have been executed if `sent` is set."""
+
+    def __init__(self, message, sent):
+        super().__init__(message)
+        self.sent = sent
 
 
 class Response(NamedTuple):
@@ -84,13 +88,21 @@
 class HttpClient:
     """Calls to one server, over connections that are kept open between calls."""
 
-    def __init__(self, host, port):
+    def __init__(self, host, port, max_idle=MAX_IDLE_CONNECTIONS):
         self.host = host
         self.port = port
+        self.max_idle = max_idle
         self._idle = []
 
-    async def call(self, method, path, timeouts, query=None, body=None, headers=()):
-        """Return the Response to a call, or raise HttpError."""
+    async def call(
+        self, method, path, timeouts, query=None, body=None, headers=(), left_s=None
+    ):
+        """Return the Response to a call, or raise HttpError.
+
+        `left_s()` returns for how many more seconds the request may be delivered. It
+        is asked last thing before the request is sent, as opening the connection may
+        have taken long.
+        """
         target = f"{path}?{urlencode(query)}" if query else path
         data = b"" if body is None else json.dumps(body).encode()
         all_headers = [("Host", f"{self.host}:{self.port}"), *headers]
@@ -99,6 +111,7 @@
                 ("Content-Type", "application/json"),
                 ("Content-Length", str(len(data))),
             ]
+        sent = False
         try:
             async with asyncio.timeout(timeouts.total_s):
                 conn = self._take_idle()
@@ -114,22 +127,25 @@
                         conn = None
                 if conn is None:
                     conn = await self._open(timeouts.silent_s)
+                if left_s is not None:
+                    _limit_delivery(conn, left_s())
+                sent = True
                 return await self._run(
                     conn, method, target, all_headers, data, timeouts
                 )
         except TimeoutError:
             # Other connections may have gone silent too.
             self.close()
-            raise HttpError("TimeoutError") from None
+            raise HttpError("TimeoutError", sent) from None
         except (OSError, h11.ProtocolError) as exc:
-            raise HttpError(type(exc).__name__) from None
+            raise HttpError(type(exc).__name__, sent) from None
 
     async def _run(self, conn, method, target, headers, data, timeouts):
         """Make a call on a connection; keep the connection if it can be used again."""
         with conn.stream.call():
             conn.send(method, target, headers, data)
             resp = await conn.receive(timeouts.silent_s)
-        if conn.start_next() and len(self._idle) < MAX_IDLE_CONNECTIONS:
+        if conn.start_next() and len(self._idle) < self.max_idle:
             self._idle.append(conn)
         else:
             conn.stream.drop()
@@ -154,6 +170,14 @@
             conn.stream.drop()
 
 
+def _limit_delivery(conn, left_s):
+    """Let the next request on a connection be delivered within a time or not at all."""
+    with conn.stream.call():
+        if left_s <= 0:
+            raise HttpError("too late to send it", False)
+        conn.stream.limit_delivery(left_s)
+
+
 async def serve(host, port, path, handle, metrics):
     """Answer GET requests for one path with (status, body) of `handle()`."""
 
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -237,23 +237,30 @@
 
 
 class PromotionClient:
-    """Requests promotions from the platform."""
+    """Requests promotions from the platform.
+
+    Each order has a connection of its own: that it opens shows that the way is clear.
+    """
 
     def __init__(self, host, port):
-        self._http = HttpClient(host, port)
+        self._http = HttpClient(host, port, max_idle=0)
 
-    async def promote(self, group, database, holder, token, timeout_s):
-        """Request a promotion; return the HTTP status."""
+    async def promote(self, group, database, holder, token, left_s):
+        """Request a promotion; return the HTTP status.
+
+        The order is not delivered later than `left_s()` seconds from now.
+        """
         headers = [("X-Lease-Holder", holder), ("X-Fencing-Token", str(token))]
-        body = {"service": group, "id": database}
+        timeout_s = max(0.0, left_s())
         try:
             resp = await self._http.call(
                 "POST",
                 "/promote",
                 Timeouts(timeout_s, timeout_s),
-                body=body,
+                body={"service": group, "id": database},
                 headers=headers,
+                left_s=left_s,
             )
         except HttpError as exc:
-            raise StoreError(f"promote: {exc}", True) from None
+            raise StoreError(f"promote: {exc}", exc.sent) from None
         return resp.status
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import enum
 import json
 import random
 
@@ -17,6 +18,7 @@
 from dragonflywing.decisions.relays import Role
 from dragonflywing.errors import StoreError
 from dragonflywing.groups import as_vote
+from dragonflywing.supervisor import spawn
 
 DUTY_KEY = "dfw/duty/promotion"
 ROSTER_PREFIX = "dfw/groups/"
@@ -33,7 +35,9 @@
 STATUS_INTERVAL_S = 1.5
 # The same while the roster differs from the listed databases.
 ROSTER_STATUS_INTERVAL_S = 0.4
-PROMOTE_TIMEOUT_S = 3.0  # an answer usually takes milliseconds
+PROMOTE_TIMEOUT_S = 2.5  # an answer usually takes milliseconds
+# Statuses with which the platform refuses an order.
+REFUSED_STATUSES = frozenset({400, 403, 404, 409, 429, 503})
 PROMOTION_EFFECT_TIMEOUT_S = 2.5  # usually some hundred ms after the order
 PROMOTION_POLL_S = 0.05
 ACQUIRE_DELAY_S = 0.3  # for each rank, so that instances try one after the other
@@ -42,6 +46,14 @@
 MEMBER_ACQUIRE_DELAY_S = 4.0
 
 
+class Outcome(enum.Enum):
+    """What came of a replacement: an order may take effect later if it is unknown."""
+
+    DONE = "done"
+    NOT_ORDERED = "not_ordered"
+    UNKNOWN = "unknown"
+
+
 class Replacer:
     """Acquires the duty if it is free, and replaces primaries while it holds it."""
 
@@ -58,6 +70,9 @@
         self.valid_until = 0.0
         self._health = {}
         self._running = {}
+        self._orders = set()  # tasks of the orders that are under way
+        # Groups with an order that may still take effect.
+        self._unresolved = set()
         self._duty_item = None
         self._roster_states = {}
         self._roster_revisions = {}
@@ -88,7 +103,18 @@
 
     def holds_duty(self):
         """Return whether this instance may order promotions."""
-        return self.token > 0 and boottime() < self.valid_until - LEASE_MARGIN_S
+        return self._order_left_s(self.token) > 0
+
+    def _order_left_s(self, token):
+        """Return for how many seconds an order with this token may be delivered.
+
+        Another token than the present one was held before another instance may have
+        held the duty.
+        """
+        if not token or token != self.token:
+            return 0.0
+        left_s = self.valid_until - LEASE_MARGIN_S - boottime()
+        return min(left_s, PROMOTE_TIMEOUT_S)
 
     # The duty
 
@@ -122,6 +148,9 @@
             self.valid_until = 0.0
         self.token = 0
         self.lease = None
+        for order in self._orders:
+            self.metrics.count("promotion.dropped")
+            order.cancel()
 
     def _holder_id(self):
         return f"{self.node.settings.instance}/{self.cluster.incarnation}".encode()
@@ -209,9 +238,17 @@
         return claimed if is_valid else None
 
     async def release_duty(self):
-        """Release the duty, so that another instance can acquire it at once."""
+        """Release the duty, so that another instance can acquire it at once.
+
+        Orders that are under way end first. If it isn't known whether they take
+        effect, the lease ends by itself.
+        """
         self.token = 0
-        if self.lease:
+        if self._orders:
+            await asyncio.wait(self._orders)
+        if self._unresolved:
+            logs.event("duty_left", unresolved=",".join(sorted(self._unresolved)))
+        elif self.lease:
             try:
                 await self.store.end_lease(self.lease)
             except StoreError as exc:
@@ -351,6 +388,7 @@
     # Replacing
 
     async def _replace(self, group, reason):
+        token = self.token
         members = self.groups.members(group)
         voters, quorum = self.groups.quorum_names(group), self.groups.quorum(group)
         statuses = await self._statuses(members)
@@ -361,7 +399,7 @@
             group=group,
             reason=reason,
             term=term,
-            token=self.token,
+            token=token,
             primary=self.groups.state(group).primary,
             reached=len(statuses),
             quorum=quorum,
@@ -378,8 +416,12 @@
         paused = await self._pause_databases(members, statuses, term)
         eligible = [item for item in paused if item.database in voters]
         chosen = replacement.choose(eligible, quorum)
-        if chosen is None or not await self._promote(group, chosen, term):
-            await self._resume_databases(paused)
+        outcome = Outcome.NOT_ORDERED
+        if chosen is not None:
+            outcome = await self._promote(group, chosen, term, token)
+        if outcome is Outcome.NOT_ORDERED:
+            await self._resume_databases(group, paused, token)
+        if outcome is not Outcome.DONE:
             return
         self._health.pop(group, None)
         # The new primary holds every acknowledged write, so databases that are no
@@ -428,29 +470,65 @@
             if status is not None and not status.is_primary
         ]
 
-    async def _promote(self, group, database, term):
-        if not self.holds_duty():
+    async def _promote(self, group, database, term, token):
+        """Order a promotion with the token that was held when its group was paused.
+
+        Return the Outcome. What was learned under another token may be out of date.
+        """
+        left_s = self._order_left_s(token)
+        if left_s <= 0:
             logs.event("replacement_stopped", group=group, reason="duty_lost")
-            return False
-        try:
-            status = await self.node.ports.promote(
+            return Outcome.NOT_ORDERED
+        ordered_at = boottime()
+        order = spawn(
+            self._orders,
+            self.node.ports.promote(
                 group,
                 database,
                 self.node.settings.instance,
-                self.token,
-                PROMOTE_TIMEOUT_S,
-            )
-        except StoreError as exc:
-            logs.event("promotion_failed", group=group, error=str(exc))
-            self.metrics.count("promotion.no_answer")
-            status = 0
+                token,
+                lambda: self._order_left_s(token),
+            ),
+        )
+        self._unresolved.add(group)
+        await asyncio.wait({order})
+        status, may_have_run = self._order_result(group, order)
         logs.event(
-            "promotion", group=group, database=database, term=term, status=status
+            "promotion",
+            group=group,
+            database=database,
+            term=term,
+            token=token,
+            status=status,
+            left_s=left_s,
+            took_s=boottime() - ordered_at,
         )
-        if status not in (0, 200):
+        if not may_have_run:
+            self._unresolved.discard(group)
+            return Outcome.NOT_ORDERED
+        if not await self._wait_for_promotion(group, database):
+            return Outcome.UNKNOWN
+        self._unresolved.discard(group)
+        return Outcome.DONE
+
+    def _order_result(self, group, order):
+        """Return the status of an order that has ended, and whether it may take effect.
+
+        The status is 0 if there is no answer.
+        """
+        status, error, may_have_run = 0, "dropped", True
+        if not order.cancelled():
+            try:
+                status = order.result()
+            except StoreError as exc:
+                error, may_have_run = str(exc), exc.may_have_run
+        if not status:
+            logs.event("promotion_failed", group=group, error=error)
+            self.metrics.count("promotion.no_answer")
+        elif status != 200:
             self.metrics.count(f"promotion.status_{status}")
-            return False
-        return await self._wait_for_promotion(group, database)
+            may_have_run = status not in REFUSED_STATUSES
+        return status, may_have_run
 
     async def _wait_for_promotion(self, group, database):
         end = boottime() + PROMOTION_EFFECT_TIMEOUT_S
@@ -464,7 +542,15 @@
             await asyncio.sleep(PROMOTION_POLL_S)
         return False
 
-    async def _resume_databases(self, paused):
+    async def _resume_databases(self, group, paused, token):
+        """Let paused databases receive again.
+
+        They stay paused if another instance may hold the duty or an order may still
+        take effect: what they receive then could be missing from the next primary.
+        """
+        if group in self._unresolved or self._order_left_s(token) <= 0:
+            logs.event("databases_stay_paused", group=group)
+            return
         adapter = self.node.ports.databases
         await asyncio.gather(
             *[self.router.command(item.database, adapter.RESUME) for item in paused]
--- a/dragonflywing/standin/platform_database.py
+++ b/dragonflywing/standin/platform_database.py
@@ -26,8 +26,9 @@
     executed statement, in order.
     """
 
-    def __init__(self, name, sync_replicas=1, lag_s=0.01):
+    def __init__(self, name, sync_replicas=1, lag_s=0.01, promote_s=0.0):
         self.name = name
+        self.promote_s = promote_s  # from the order to its effect
         self.sync_replicas = sync_replicas
         self.lag_s = lag_s
         self.databases = {}
@@ -38,8 +39,16 @@
         new_primary = self.databases.get(database)
         if new_primary is None or not new_primary.is_up:
             return 409
-        if new_primary.is_primary:
-            return 200
+        if self.promote_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.promote_s, self._take_effect, new_primary)
+        else:
+            self._take_effect(new_primary)
+        return 200
+
+    def _take_effect(self, new_primary):
+        if not new_primary.is_up or new_primary.is_primary:
+            return
         term = max(item.term for item in self.databases.values()) + 1
         for item in self.databases.values():
             if item.is_up and item is not new_primary:
@@ -49,7 +58,6 @@
             item.promised = 0
         new_primary.term = term
         new_primary.is_primary = True
-        return 200
 
     async def replicate(self, primary, entry):
         """Copy the log to the replicas; return whether enough of them received it."""
@@ -101,6 +109,17 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    async def restart(self):
+        """Come back with the log, as a replica if another one leads meanwhile."""
+        self.is_up, self.promised = True, 0
+        others = self.group.databases.values()
+        primary = next((x for x in others if x.is_primary and x is not self), None)
+        if primary is not None:
+            self.is_primary, self.term = False, primary.term
+            self.log = list(primary.log)
+            self.apply(len(self.log))
+        await self.start()
+
     def apply(self, count):
         """Make the first `count` entries of the log visible to reads."""
         self.applied = max(self.applied, min(count, len(self.log)))
@@ -133,8 +152,8 @@
         self.connections_opened += 1
         try:
             await Connection(self, reader, writer).run()
-        except (OSError, EOFError, asyncio.IncompleteReadError):
-            pass
+        except (OSError, EOFError, RuntimeError):
+            pass  # uvloop raises RuntimeError for a write to a closed connection
         finally:
             self.writers.discard(writer)
             writer.close()
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -76,8 +76,10 @@
 class Deployment:
     """One group of three databases, a store and entry instances."""
 
-    def __init__(self, instances):
+    def __init__(self, instances, through_networks=False):
         self.instances = instances
+        self.through_networks = through_networks
+        self.networks = {}  # each instance's Networks to the store and its duties
         self.group = StandinGroup("orders-db")
         self.platform = platform_store.PlatformState(
             lambda service, name: self.group.promote(name)
@@ -89,15 +91,11 @@
         self.callers = {}
         self.logs = {}
         self.ports = PortPool()
-        self.network = None
         self._ports = {}
         self._tasks = []
 
-    async def start(self, folder, through_network=False):
-        """Start everything and wait until all instances are ready.
-
-        The instances reach the store through `network` if `through_network` is set.
-        """
+    async def start(self, folder):
+        """Start everything and wait until all instances are ready."""
         self.folder = folder
         app = platform_store.make_app(self.platform)
         runner = web.AppRunner(app, shutdown_timeout=0.1)
@@ -106,9 +104,6 @@
         port = self.ports.take()
         await web.TCPSite(runner, "127.0.0.1", port).start()
         self.store_port = port
-        if through_network:
-            self.network = await Network(port).start()
-            self.store_port = self.network.port
         self._tasks.append(asyncio.create_task(self.platform.expire()))
         for number, data_centre in enumerate(DATA_CENTRES):
             database = StandinDatabase(self.group, f"db-{number}", number == 0)
@@ -188,6 +183,13 @@
         if name not in self._ports:
             self._ports[name] = [self.ports.take() for _ in range(4)]
         caller_port, ready_port, peer_port, metrics_port = self._ports[name]
+        store_port = duty_port = self.store_port
+        if self.through_networks:
+            if name not in self.networks:
+                self.networks[name] = [
+                    await Network(self.store_port).start() for _ in range(2)
+                ]
+            store_port, duty_port = [x.port for x in self.networks[name]]
         settings = {
             "node": name,
             "zone": data_centre,
@@ -205,10 +207,10 @@
                 "drain_ms": DRAIN_MS,
             },
             "platform": {
-                "address": f"127.0.0.1:{self.store_port}",
+                "address": f"127.0.0.1:{store_port}",
                 "ttl_min_ms": 1000,
             },
-            "cloud": {"address": f"127.0.0.1:{self.store_port}"},
+            "cloud": {"address": f"127.0.0.1:{duty_port}"},
         }
         path = os.path.join(self.folder, f"{name}.json")
         with open(path, "w", encoding="utf-8") as file:
@@ -238,6 +240,12 @@
         for process in self.processes.values():
             await process.wait()
 
+    def duty_holder(self):
+        """Return the name of the instance that holds the duty, None if it is free."""
+        item = self.platform.items.get("dfw/duty/promotion")
+        value = base64.b64decode(item["value"]).decode() if item else ""
+        return value.split("/")[0] or None
+
     async def count_executed(self, callers, duration_s, pause_s):
         """Read repeatedly with all callers; return how many statements executed."""
         loop = asyncio.get_running_loop()
@@ -321,9 +329,9 @@
 
 
 @contextlib.asynccontextmanager
-async def deployed(folder, instances=3):
+async def deployed(folder, instances=3, **options):
     """Run a deployment for the duration of a `with` block."""
-    deployment = Deployment(instances)
+    deployment = Deployment(instances, **options)
     try:
         await deployment.start(str(folder))
         yield deployment
--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -12,7 +12,7 @@
 from dragonflywing.standin import platform_store
 from dragonflywing.standin.platform_database import StandinDatabase
 from test.helper import run
-from test.platform.deployment import DATA_CENTRES, DRAIN_MS, Deployment, deployed
+from test.platform.deployment import DATA_CENTRES, DRAIN_MS, deployed
 
 RECOVERY_S = 12  # within which the users expect service after a stop of everything
 
@@ -362,15 +362,14 @@
         run(self._check(tmp_path))
 
     async def _check(self, tmp_path):
-        deployment = Deployment(3)
-        try:
-            await deployment.start(str(tmp_path), through_network=True)
+        async with deployed(tmp_path, through_networks=True) as deployment:
             readers = [
                 await deployment.connect(f"front-{number}", "marks")
                 for number in range(3)
             ]
             await deployment.count_executed(readers, 1.0, 0.02)
-            deployment.network.silence()
+            for store, _ in deployment.networks.values():
+                store.silence()
             database = deployment.group.databases["db-1"]
             deployment.put_database_entry(database, DATA_CENTRES[1], "draining")
             await deployment.count_executed(readers, DRAIN_MS / 1000, 0.02)
@@ -378,8 +377,6 @@
             await deployment.count_executed(readers, 2.0, 0.02)
             used = {name for name, *_ in deployment.group.executed[before:]}
             assert used and "db-1" not in used
-        finally:
-            await deployment.stop()
 
 
 class TestCallersThatLeave:
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -7,7 +7,7 @@
 from dragonflywing import http
 from dragonflywing.http import HttpClient, HttpError, Timeouts
 from dragonflywing.metrics import Metrics
-from test.helper import run
+from test.helper import Network, run
 
 TIMEOUTS = Timeouts(2.0, 0.3)
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
@@ -120,6 +120,40 @@
         assert run(check()) == b"x" * 10
 
 
+class TestLimitedDelivery:
+    """ONE: orders that acted late, as their connections opened or delivered late."""
+
+    def test_a_request_that_is_too_late_is_not_sent(self):
+        async def check():
+            async with ScriptedServer(lambda number: [ANSWER]) as client:
+                with pytest.raises(HttpError) as exc_info:
+                    await client.call("POST", "/x", TIMEOUTS, left_s=lambda: 0.0)
+                assert not exc_info.value.sent
+
+        run(check())
+
+    @pytest.mark.parametrize("ending", ["timeout", "cancel"])
+    def test_a_request_that_a_cut_holds_is_not_delivered_later(self, ending):
+        run(self._check_cut(ending))
+
+    async def _check_cut(self, ending):
+        server = ScriptedServer(lambda number: [ANSWER, ANSWER])
+        async with server as client:
+            network = await Network(client.port).start()
+            client.port = network.port
+            await client.call("POST", "/before", TIMEOUTS)
+            network.cut()
+            call = asyncio.create_task(client.call("POST", "/late", TIMEOUTS))
+            await asyncio.sleep(0.1)
+            if ending == "cancel":
+                call.cancel()
+            await asyncio.wait({call})
+            await asyncio.sleep(0.05)
+            network.heal()
+            await asyncio.sleep(0.2)
+            assert len(server.requests) == 1
+
+
 class TestServer:
     @pytest.mark.parametrize(
         "data,status",
--- a/test/test_replacer.py
+++ b/test/test_replacer.py
@@ -5,14 +5,22 @@
 
 import pytest
 
-from dragonflywing import replacer
-from dragonflywing.decisions import eras
+from dragonflywing import groups, replacer
+from dragonflywing.decisions import eras, replacement
 from dragonflywing.decisions.eras import ABSENT, EraState, Lease, Revision
+from dragonflywing.decisions.positions import Position
 from dragonflywing.decisions.relays import Role
+from dragonflywing.deployment import Database
+from dragonflywing.errors import StoreError
 from dragonflywing.groups import Groups
 from dragonflywing.metrics import Metrics
-from dragonflywing.ports import StoredItem
-from dragonflywing.replacer import DUTY_KEY, DUTY_LEASE_S, Replacer
+from dragonflywing.ports import DatabaseStatus, StoredItem
+from dragonflywing.replacer import (
+    DUTY_KEY,
+    DUTY_LEASE_S,
+    LEASE_MARGIN_S,
+    Replacer,
+)
 from test.helper import run_on_simulated_clock
 
 
@@ -174,3 +182,174 @@
             stop(tasks)
 
         run_on_simulated_clock(check())
+
+
+class Platform:
+    """A promotion service that answers after `answer_s`; `orders` holds tokens."""
+
+    def __init__(self):
+        self.answer_s, self.open_s = 0.0, 0.0
+        self.status = 200
+        self.orders = []
+
+    async def promote(self, group, database, holder, token, left_s):
+        count = len(self.orders)
+        try:
+            async with asyncio.timeout(max(0.0, left_s())):
+                await asyncio.sleep(self.open_s)
+                if left_s() <= 0:
+                    raise StoreError("too late", False)
+                self.orders.append(token)
+                await asyncio.sleep(self.answer_s)
+                return self.status
+        except TimeoutError:
+            raise StoreError("TimeoutError", len(self.orders) > count) from None
+
+
+class Databases:
+    """Three databases that obey control statements; `commands` holds those."""
+
+    RESUME = "RESUME"
+
+    def __init__(self):
+        self.commands = []
+        self.before_answer = None  # called once before the next PAUSE is answered
+
+    def pause(self, term):
+        return f"PAUSE {term}"
+
+    def step_down(self, term):
+        return f"STEPDOWN {term}"
+
+    async def status_of(self, name):
+        return DatabaseStatus(False, 1, Position(1, 5), 0, 0.0, 0, 1)
+
+    async def command(self, name, text):
+        self.commands.append(text)
+        if text.startswith("PAUSE") and self.before_answer is not None:
+            hook, self.before_answer = self.before_answer, None
+            await hook()
+        return await self.status_of(name)
+
+
+class TestOrders:
+    """ONE and LOST: orders that took effect after their holder's right had ended."""
+
+    @pytest.fixture
+    def holding(self, start, monkeypatch):
+        """Return a function that runs `check(state, store, platform, databases)`."""
+
+        def run_check(check):
+            async def run_holder():
+                loop = asyncio.get_running_loop()
+                monkeypatch.setattr(groups, "boottime", loop.time)
+                store, platform, databases = Store(), Platform(), Databases()
+                state, tasks = start(store, "a")
+                state.node.router = state.router = databases
+                state.node.ports.databases = databases
+                state.node.ports.promote = platform.promote
+                for name in ("x", "y", "z"):
+                    entry = Database(name, "g", "h", 1, "here", 2, False, False, 1)
+                    state.groups.note_database(entry)
+                await asyncio.sleep(1.5)
+                assert state.holds_duty()
+                state._health["g"] = replacement.HealthState(loop.time())
+                await check(state, store, platform, databases)
+                stop(tasks)
+
+            run_on_simulated_clock(run_holder())
+
+        return run_check
+
+    @pytest.mark.parametrize("open_s,sent", [(10.0, 0), (1.0, 1)])
+    def test_end_before_the_lease_can_end(self, holding, open_s, sent):
+        async def check(state, store, platform, databases):
+            async def keep_lease(lease):
+                raise StoreError("cut off", True)
+
+            store.keep_lease = keep_lease
+            platform.open_s, platform.answer_s = open_s, 10.0
+            task = asyncio.create_task(state._replace("g", "silent"))
+            await asyncio.sleep(0.1)
+            assert state._orders
+            while state._orders:
+                await asyncio.sleep(0.01)
+            now = asyncio.get_running_loop().time()
+            assert now <= state.valid_until - LEASE_MARGIN_S + 0.02
+            assert len(platform.orders) == sent
+            await task
+
+        holding(check)
+
+    def test_are_not_sent_after_a_stand_still(self, holding, monkeypatch):
+        # The process stood still after the last check of the lease.
+        async def check(state, store, platform, databases):
+            async def stand_still():
+                loop = asyncio.get_running_loop()
+                monkeypatch.setattr(replacer, "boottime", lambda: loop.time() + 4)
+
+            databases.before_answer = stand_still
+            await state._replace("g", "silent")
+            assert platform.orders == []
+
+        holding(check)
+
+    def test_are_not_sent_with_a_later_token_than_the_pause(self, holding):
+        # What was learned before the duty was lost and acquired again is out of date.
+        async def check(state, store, platform, databases):
+            async def lose_and_acquire():
+                token = state.token
+                state._lose_duty("lease_ended")
+                store.item = None
+                while not state.token:
+                    await asyncio.sleep(0.1)
+                assert state.token > token
+
+            databases.before_answer = lose_and_acquire
+            await state._replace("g", "silent")
+            assert platform.orders == []
+            assert "RESUME" not in databases.commands
+
+        holding(check)
+
+    def test_end_when_the_duty_is_lost(self, holding):
+        async def check(state, store, platform, databases):
+            platform.answer_s = 10.0
+            task = asyncio.create_task(state._replace("g", "silent"))
+            await asyncio.sleep(0.3)
+            assert len(platform.orders) == 1 and state._orders
+            state._lose_duty("key_changed")
+            await asyncio.sleep(0.01)
+            assert not state._orders
+            await task
+            assert "RESUME" not in databases.commands
+
+        holding(check)
+
+    def test_end_before_the_duty_is_released(self, holding):
+        async def check(state, store, platform, databases):
+            platform.answer_s = 0.6
+            task = asyncio.create_task(state._replace("g", "silent"))
+            await asyncio.sleep(0.3)
+            started_at = asyncio.get_running_loop().time()
+            ended = []
+            store.end_lease = lambda lease: ended.append(lease) or asyncio.sleep(0)
+            await state.release_duty()
+            assert asyncio.get_running_loop().time() - started_at > 0.25
+            # Its effect isn't seen yet, so the lease ends by itself.
+            assert ended == []
+            await task
+
+        holding(check)
+
+    @pytest.mark.parametrize("status,resumed", [(409, 3), (200, 0), (502, 0)])
+    def test_leave_databases_paused_unless_they_were_refused(
+        self, holding, status, resumed
+    ):
+        async def check(state, store, platform, databases):
+            platform.status = status
+            await state._replace("g", "silent")
+            assert len(platform.orders) == 1
+            assert databases.commands.count("RESUME") == resumed
+
+        holding(check)
