--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -377,7 +377,7 @@
                 attempt=attempt,
             )
             tried.add(database)
-            if to_primary:
+            if to_primary and attempt + 1 < MAX_ATTEMPTS:
                 await asyncio.sleep(retries.backoff(attempt, random))
         return self._resolve_unknown_outcome(kind, answer)
 
--- /dev/null
+++ b/test/test_sessions.py
@@ -0,0 +1,66 @@
+"""Tests of a session's attempts, on a simulated clock."""
+
+import asyncio
+from types import SimpleNamespace
+
+from dragonflywing import outcomes, sessions
+from dragonflywing.decisions.retries import MAX_BACKOFF_S, MIN_BACKOFF_S
+from dragonflywing.metrics import Metrics
+from dragonflywing.ports import Answer
+from test.helper import run_on_simulated_clock
+
+
+def refusing_node(attempts):
+    """Return a node whose databases refuse all statements as not run."""
+
+    async def run(req):
+        attempts.append(req)
+        return Answer(outcomes.OVERLOADED, "not run", (), False, None), "", "home"
+
+    async def wait_primary(group, wait_s):
+        return "db"
+
+    route = SimpleNamespace(
+        freshness="current", timeout_s=5.0, priority=1, group="g", is_open=True
+    )
+    return SimpleNamespace(
+        now=asyncio.get_running_loop().time,
+        cluster=SimpleNamespace(stop=None),
+        metrics=Metrics(),
+        ports=SimpleNamespace(databases=None),
+        directory=SimpleNamespace(
+            cfg=SimpleNamespace(routes={"r": route}, keys={}),
+            is_confirmed=lambda: True,
+        ),
+        router=SimpleNamespace(
+            failure=lambda code, text: Answer(code, text, (), False, None),
+            new_request=lambda **fields: SimpleNamespace(**fields, opening=""),
+            is_primary=lambda route, database: True,
+            note_answer=lambda *args: None,
+            run=run,
+            wait_primary=wait_primary,
+        ),
+    )
+
+
+class TestAttempts:
+    def test_end_without_a_pause_after_the_last_one(self):
+        # A refusal took over a second, as it came only after one more pause.
+        async def check():
+            attempts = []
+            session = sessions.Session(refusing_node(attempts), "r", "")
+            started_at = asyncio.get_running_loop().time()
+            op = sessions.Operation("read", "1", "READ a", "a", "")
+            reply = await session.handle(op)
+            assert reply.code == outcomes.OVERLOADED
+            assert len(attempts) == sessions.MAX_ATTEMPTS
+            pauses = [
+                min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**number)
+                for number in range(sessions.MAX_ATTEMPTS - 1)
+            ]
+            elapsed_s = asyncio.get_running_loop().time() - started_at
+            assert elapsed_s <= sum(pauses) + 0.001
+
+        # Pauses are random.
+        for _ in range(20):
+            run_on_simulated_clock(check())
