Resolve an order by a later term; release the duty beside a planned stop

Found by reading the change: a group whose order had no answer stayed unresolved until this instance promoted again, so the duty was never released early and databases never resumed; a later refusal forgot an earlier order that may still take effect; and waiting for an order at SIGTERM delayed closing idle sessions. The new test of TestOrders fails if a refusal forgets the earlier order (trial, the condition switched off).

--- a/dragonflywing/following.py
+++ b/dragonflywing/following.py
@@ -42,7 +42,7 @@
         self.replica = replicas.Replica()
         self.has_list = False
         self._must_list = True  # whether changes may have been missed
-        self._polled = eras.ABSENT  # the revision up to which it has caught up
+        self._caught_up_to = eras.ABSENT  # the revision that `catch_up` has reached
         self._watching = None  # the timeout of the watch that is waiting
         self.hold_s = lambda key: replicas.RESTORE_S
         self.is_served = lambda: False
@@ -73,7 +73,7 @@
 
     def complete_to(self):
         """Return the revision up to which this copy has all changes."""
-        return max(self._polled, self.replica.revision)
+        return max(self._caught_up_to, self.replica.revision)
 
     async def catch_up(self, revision):
         """Apply the changes up to a revision of the store, whatever the watch does.
@@ -84,7 +84,7 @@
         if not self.has_list or self.complete_to() >= revision:
             return
         try:
-            items, revision = await self.store.watch(
+            items, reached = await self.store.watch(
                 self.prefix, self.complete_to(), 0.0
             )
         except (HistoryLost, StoreError):
@@ -92,8 +92,8 @@
             await self._read_list(may_be_old=False)
             return
         if items:
-            self.apply(replicas.Changes(False, revision, items))
-        self._polled = max(self._polled, revision)
+            self.apply(replicas.Changes(False, reached, items))
+        self._caught_up_to = max(self._caught_up_to, reached)
 
     def _expect_report(self, seconds):
         """Let the watch that is waiting end after a time at the latest."""
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -362,7 +362,7 @@
         logs.event("draining", sessions=len(callers.connections))
         stop = stopping.Stop(self.now(), self.settings.shutdown_s)
         self.cluster.leave(stop)
-        await self.replacer.release_duty()
+        release = supervisor.spawn(self._tasks, self.replacer.release_duty())
         while not stopping.closes_idle_sessions(stop, self.now()):
             await asyncio.sleep(DRAIN_POLL_S)
         callers.stop_listening()
@@ -374,6 +374,7 @@
             if not callers.connections and not any(h.transactions for h in homes):
                 break
             await asyncio.sleep(DRAIN_POLL_S)
+        await release
         await self.cluster.withdraw()
         logs.event("drained", left=len(callers.connections))
 
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -71,8 +71,8 @@
         self._health = {}
         self._running = {}
         self._orders = set()  # tasks of the orders that are under way
-        # Groups with an order that may still take effect.
-        self._unresolved = set()
+        # The terms that groups had when an order was sent that may still take effect.
+        self._ordered_in = {}
         self._duty_item = None
         self._roster_states = {}
         self._roster_revisions = {}
@@ -108,8 +108,8 @@
     def _order_left_s(self, token):
         """Return for how many seconds an order with this token may be delivered.
 
-        Another token than the present one was held before another instance may have
-        held the duty.
+        Between an earlier token and the present one, another instance may have held
+        the duty.
         """
         if not token or token != self.token:
             return 0.0
@@ -246,8 +246,9 @@
         self.token = 0
         if self._orders:
             await asyncio.wait(self._orders)
-        if self._unresolved:
-            logs.event("duty_left", unresolved=",".join(sorted(self._unresolved)))
+        unresolved = [group for group in self._ordered_in if self._may_change(group)]
+        if unresolved:
+            logs.event("duty_left", unresolved=",".join(sorted(unresolved)))
         elif self.lease:
             try:
                 await self.store.end_lease(self.lease)
@@ -490,7 +491,8 @@
                 lambda: self._order_left_s(token),
             ),
         )
-        self._unresolved.add(group)
+        was_unresolved = self._may_change(group)
+        self._ordered_in[group] = self.groups.state(group).term
         await asyncio.wait({order})
         status, may_have_run = self._order_result(group, order)
         logs.event(
@@ -504,12 +506,19 @@
             took_s=boottime() - ordered_at,
         )
         if not may_have_run:
-            self._unresolved.discard(group)
+            if not was_unresolved:
+                del self._ordered_in[group]
             return Outcome.NOT_ORDERED
-        if not await self._wait_for_promotion(group, database):
-            return Outcome.UNKNOWN
-        self._unresolved.discard(group)
-        return Outcome.DONE
+        is_done = await self._wait_for_promotion(group, database)
+        return Outcome.DONE if is_done else Outcome.UNKNOWN
+
+    def _may_change(self, group):
+        """Return whether an order for a group may still take effect.
+
+        It has done so, or has come too late, once the group has a later term.
+        """
+        term = self._ordered_in.get(group)
+        return term is not None and self.groups.state(group).term <= term
 
     def _order_result(self, group, order):
         """Return the status of an order that has ended, and whether it may take effect.
@@ -548,7 +557,7 @@
         They stay paused if another instance may hold the duty or an order may still
         take effect: what they receive then could be missing from the next primary.
         """
-        if group in self._unresolved or self._order_left_s(token) <= 0:
+        if self._may_change(group) or self._order_left_s(token) <= 0:
             logs.event("databases_stay_paused", group=group)
             return
         adapter = self.node.ports.databases
--- a/test/test_replacer.py
+++ b/test/test_replacer.py
@@ -353,3 +353,17 @@
             assert databases.commands.count("RESUME") == resumed
 
         holding(check)
+
+    def test_leave_databases_paused_while_an_earlier_one_may_take_effect(self, holding):
+        async def check(state, store, platform, databases):
+            platform.status = 502
+            await state._replace("g", "silent")
+            platform.status = 409
+            await state._replace("g", "silent")
+            assert len(platform.orders) == 2
+            assert "RESUME" not in databases.commands
+            state.groups.note_primary("g", "x", 2)
+            await state._replace("g", "silent")
+            assert databases.commands.count("RESUME") == 3
+
+        holding(check)
