--- a/dragonflywing/peers.py
+++ b/dragonflywing/peers.py
@@ -196,7 +196,8 @@
             if self.metrics:
                 self.metrics.count("peer.call_failed")
             return None
-        except asyncio.CancelledError:
+        except BaseException:
+            # The answer may still come, and would be taken for that of the next call.
             self.close()
             raise
 
