--- a/dragonflywing/callers.py
+++ b/dragonflywing/callers.py
@@ -5,7 +5,7 @@
 
 from dragonflywing import errors, identity, request_records
 from dragonflywing.backend import parse_position
-from dragonflywing.decisions import retries, routing, statements, versions
+from dragonflywing.decisions import retries, routing, statements, stopping, versions
 from dragonflywing.decisions.positions import ZERO, decode_token, encode_token
 from dragonflywing.decisions.statements import Kind
 from dragonflywing.errors import DatabaseError, DfwError, Verdict
@@ -161,12 +161,20 @@
         statement = statements.decide(self.entry.statements, sql, workspace or "")
         if self.caller()[0] is None:
             self._check_open_route(statement.kind, workspace)
-        deadline = started_at + self.entry.cfg.times.statement_s
+        deadline = self._deadline(statement.kind, started_at)
         request_id = attrs.get("request_id") or self.request_id
         return await self._dispatch(
             statement, sql, cfg, workspace, route, deadline, request_id
         )
 
+    def _deadline(self, kind, started_at):
+        """Return a statement's deadline; raise DfwError if a stop leaves no time."""
+        stop, limit_s = self.entry.stop, self.entry.cfg.times.statement_s
+        has_time = stopping.accepts_statement(stop, started_at, limit_s)
+        if not has_time and kind is not Kind.ROLLBACK:
+            raise DfwError(errors.SHUTTING_DOWN, "instance is shutting down, not run")
+        return stopping.deadline(stop, started_at + limit_s)
+
     async def _dispatch(
         self, statement, sql, cfg, workspace, route, deadline, request_id
     ):
--- a/dragonflywing/entry.py
+++ b/dragonflywing/entry.py
@@ -15,7 +15,7 @@
     watcher,
 )
 from dragonflywing.callers import CallerSession
-from dragonflywing.decisions import retries, shares, versions
+from dragonflywing.decisions import retries, shares, stopping, versions
 from dragonflywing.decisions.statements import StatementCache
 from dragonflywing.errors import DfwError, UserError
 from dragonflywing.fleet import Fleet
@@ -64,6 +64,7 @@
             on_error=self.count_error,
         )
         self.draining = asyncio.Event()
+        self.stop = None  # the stopping.Stop once it has begun
         self._supervisor = None
         self._set_fleet_callbacks()
 
@@ -148,6 +149,7 @@
         self.fleet.leaving = True
         self.callers.stop_listening()
         loop = asyncio.get_running_loop()
+        self.stop = stopping.Stop(loop.time(), self.cfg.times.drain_s)
         deadline = loop.time() + self.cfg.times.drain_s
         notified = set()
         shutdown_error = DfwError(errors.SHUTTING_DOWN, "instance is shutting down")
--- a/test/test_points.py
+++ b/test/test_points.py
@@ -453,6 +453,31 @@
             setup.close()
             in_transaction.close()
 
+    def test_cuts_no_statement_that_a_database_runs(self):
+        # LOST: at the end of the time limit running statements got no answer.
+        run(self._check_transactions())
+
+    async def _check_transactions(self):
+        times = {"drain_s": 4.0, "statement_s": 1.0}
+        async with deployed(statement_s=0.15, times=times) as deployment:
+            setup = await connect(deployment, "entry-2")
+            await query(setup, "CREATE TABLE orders (id INT)")
+            reading = asyncio.create_task(self._read_in_transaction(deployment))
+            await asyncio.sleep(0.5)
+            deployment.processes["entry-1"].signal(signal.SIGTERM)
+            assert await reading == 1053  # the instance is shutting down
+            setup.close()
+
+    async def _read_in_transaction(self, deployment):
+        """Read in a transaction until an error; return its number."""
+        conn = await connect(deployment, "entry-1")
+        await query(conn, "BEGIN")
+        while True:
+            code = await errno_of(query(conn, "SELECT id FROM orders"))
+            if code:
+                conn.close()
+                return code
+
     async def _send(self, deployment, i, stop):
         """Insert rows until stopped or disconnected and return the acknowledged ids.
 
