Ask the store for missed changes only if a revision is unaccounted for

Fix: each change of the store has the next revision, so a copy has missed nothing if all revisions since are among those received; the watches get 0.1 s. Copies that a relay keeps are not asked about.

--- a/dragonflywing/decisions/eras.py
+++ b/dragonflywing/decisions/eras.py
@@ -45,6 +45,22 @@
     return revision._replace(number=revision.number - 1)
 
 
+def accounts_for(first, last, known):
+    """Return whether all revisions after `first` up to `last` are among the known ones.
+
+    Each change of the store has the next revision, so an instance that knows them all
+    has missed no change.
+    """
+    if first.era != last.era:
+        return False
+    count = last.number - first.number
+    if count > len(known):
+        return False
+    return all(
+        Revision(last.era, first.number + step) in known for step in range(1, count + 1)
+    )
+
+
 class Lease(NamedTuple):
     """A lease of the store; its id may be given out again in a later era."""
 
--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -21,6 +21,9 @@
 from dragonflywing.following import Follower
 from dragonflywing.links import LinkLost, idl, pack, unpack
 
+# A watch may tell a change this long after another call has told its revision.
+REPORT_DELAY_S = 0.1
+REPORT_POLL_S = 0.02
 # How often an instance checks whether the store's era is settled.
 SETTLE_POLL_S = 0.1
 # How often one instance confirms the configuration for the fleet.
@@ -177,7 +180,7 @@
         """
         asked_at, is_settled = boottime(), self._is_settled()
         key, store = self.ports.configuration_key, self.ports.store
-        item = None
+        item, items = None, []
         if self.cfg is None or self.confirmed_revision == ABSENT:
             item, revision = await store.get(key)
         else:
@@ -199,13 +202,34 @@
         is_current = item is None or (
             item.value is not None and self._apply_configuration(item.value, "store")
         )
-        await asyncio.gather(*[x.catch_up(revision) for x in self.followers])
+        await self._complete_copies(revision, [x.revision for x in items])
         # The answer itself may have told of a later era.
         if is_current and is_settled and self._is_settled():
             self.confirm(self.version(), asked_at, revision)
         elif is_current:
             self.metrics.count("store.unsettled_confirmation")
 
+    async def _complete_copies(self, revision, received):
+        """Bring the followers' copies up to a revision of the store.
+
+        `received` holds the revisions of changes that belong to no follower. The store
+        is asked only if a change is missing that no watch has told.
+        """
+        copies = [x for x in self.followers if x.has_list and not x.is_served()]
+        end = self.now() + REPORT_DELAY_S
+        while copies and not self._has_received_all(copies, revision, received):
+            if self.now() >= end:
+                await asyncio.gather(*[x.catch_up(revision) for x in copies])
+                break
+            await asyncio.sleep(REPORT_POLL_S)
+        for copy in copies:
+            copy.note_complete(revision)
+
+    def _has_received_all(self, copies, revision, received):
+        known = set(received).union(*[x.received for x in self.followers])
+        first = min(x.complete_to() for x in copies)
+        return eras.accounts_for(first, revision, known)
+
     # Databases
 
     @property
--- a/dragonflywing/following.py
+++ b/dragonflywing/following.py
@@ -1,6 +1,7 @@
 """Follows the keys under a prefix of the store, directly or through other instances."""
 
 import asyncio
+import collections
 import random
 
 from dragonflywing import logs
@@ -14,6 +15,7 @@
 # A watch that doesn't report a change this long after it became known in another way
 # is on a connection that has gone silent, and is begun again.
 WATCH_LATE_S = 0.5
+MAX_RECEIVED = 500  # revisions; far more than the store changes in a second
 # How often an instance that receives changes from others checks whether it still
 # does.
 CHECK_INTERVAL_S = 0.2
@@ -42,7 +44,9 @@
         self.replica = replicas.Replica()
         self.has_list = False
         self._must_list = True  # whether changes may have been missed
-        self._caught_up_to = eras.ABSENT  # the revision that `catch_up` has reached
+        self._caught_up_to = eras.ABSENT  # the revision that is known to be reached
+        # The revisions of the changes that were received lately.
+        self.received = collections.deque(maxlen=MAX_RECEIVED)
         self._watching = None  # the timeout of the watch that is waiting
         self.hold_s = lambda key: replicas.RESTORE_S
         self.is_served = lambda: False
@@ -54,6 +58,7 @@
     def apply(self, changes):
         """Apply Changes, from the store or from another instance."""
         replicas.note_restored(self.replica, self.store.restored_at)
+        self.received.extend(item.revision for item in changes.items)
         is_newer = changes.revision >= self.replica.revision
         items = replicas.apply_changes(self.replica, self._now(), changes, self.hold_s)
         if changes.is_complete and is_newer:
@@ -71,6 +76,10 @@
             self._expect_report(WATCH_LATE_S)
             self.on_items(items)
 
+    def note_complete(self, revision):
+        """Note that this copy has all changes up to a revision of the store."""
+        self._caught_up_to = max(self._caught_up_to, revision)
+
     def complete_to(self):
         """Return the revision up to which this copy has all changes."""
         return max(self._caught_up_to, self.replica.revision)
@@ -78,10 +87,9 @@
     async def catch_up(self, revision):
         """Apply the changes up to a revision of the store, whatever the watch does.
 
-        A watch may wait on a connection that has gone silent. Nothing is asked if no
-        change is missing.
+        A watch may wait on a connection that has gone silent.
         """
-        if not self.has_list or self.complete_to() >= revision:
+        if self.complete_to() >= revision:
             return
         try:
             items, reached = await self.store.watch(
@@ -93,7 +101,7 @@
             return
         if items:
             self.apply(replicas.Changes(False, reached, items))
-        self._caught_up_to = max(self._caught_up_to, reached)
+        self.note_complete(reached)
 
     def _expect_report(self, seconds):
         """Let the watch that is waiting end after a time at the latest."""
--- a/dragonflywing/platform/databases.py
+++ b/dragonflywing/platform/databases.py
@@ -102,8 +102,9 @@
 
     async def run(self, statement_id, text):
         """Send a statement and return its Answer."""
-        self.send(statement_id, text)
-        return await self.receive()
+        with _exchange(self._stream):
+            self._stream.write(lines.encode("QUERY", statement_id, text))
+            return await self._read_answer()
 
     def is_broken(self):
         """Return whether the connection was closed or dropped."""
--- a/test/decisions/test_eras.py
+++ b/test/decisions/test_eras.py
@@ -68,3 +68,12 @@
         eras.note_mark(state, 2, Revision(2, 20))
         eras.note_mark(state, 1, Revision(1, 90))
         assert (state.era, state.since, state.marked) == (2, 10.0, 2)
+
+
+class TestReceivedChanges:
+    def test_account_for_a_revision_if_none_is_missing(self):
+        known = {Revision(1, 6), Revision(1, 7), Revision(1, 9)}
+        assert eras.accounts_for(Revision(1, 5), Revision(1, 7), known)
+        assert eras.accounts_for(Revision(1, 7), Revision(1, 7), set())
+        assert not eras.accounts_for(Revision(1, 5), Revision(1, 9), known)
+        assert not eras.accounts_for(Revision(1, 5), Revision(2, 6), known)
--- a/test/test_directory.py
+++ b/test/test_directory.py
@@ -10,6 +10,7 @@
 from dragonflywing.decisions import eras
 from dragonflywing.decisions.eras import EraState, Revision
 from dragonflywing.decisions.relays import Role
+from dragonflywing.decisions.replicas import Changes
 from dragonflywing.deployment import Database
 from dragonflywing.directory import Directory
 from dragonflywing.errors import HistoryLost
@@ -178,3 +179,41 @@
             assert state.groups.databases["a"].is_leaving
 
         checked(check)
+
+
+class TestMissedChanges:
+    """DRAIN: a confirmation covers the entries, without a call if none is missing."""
+
+    def run(self, checked, told):
+        """Change an entry, which its watch tells if `told`; return the other calls."""
+        calls = []
+
+        async def check(state, store):
+            await asyncio.sleep(2.0)
+            state.entries.has_list = True
+            state.entries.note_complete(store.revision)
+            changed = StoredItem("databases/a", b"[]", Revision(1, 6))
+
+            async def watch(key, after, wait_s):
+                if key == KEY:
+                    return [], store.revision
+                calls.append(key)
+                return [changed], store.revision
+
+            state._apply_entries = lambda items: None
+            state.entries.on_items = lambda items: None
+            store.watch, store.revision = watch, Revision(1, 6)
+            if told:
+                state.entries.apply(Changes(False, Revision(1, 6), [changed]))
+            await asyncio.sleep(3.0)
+            assert "databases/a" in state.entries.replica.items
+            assert state.is_confirmed()
+
+        checked(check)
+        return calls
+
+    def test_are_asked_for_once(self, checked):
+        assert self.run(checked, told=False) == ["databases/"]
+
+    def test_are_not_asked_for_if_the_watch_has_told_them(self, checked):
+        assert self.run(checked, told=True) == []
