--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -46,8 +46,8 @@
 MEMBER_ACQUIRE_DELAY_S = 4.0
 
 
-class Outcome(enum.Enum):
-    """What came of a replacement: an order may take effect later if it is unknown."""
+class PromotionOutcome(enum.Enum):
+    """What came of an order; one whose outcome is unknown may take effect later."""
 
     DONE = "done"
     NOT_ORDERED = "not_ordered"
@@ -246,7 +246,9 @@
         self.token = 0
         if self._orders:
             await asyncio.wait(self._orders)
-        unresolved = [group for group in self._ordered_in if self._may_change(group)]
+        unresolved = [
+            group for group in self._ordered_in if self._may_still_promote(group)
+        ]
         if unresolved:
             logs.event("duty_left", unresolved=",".join(sorted(unresolved)))
         elif self.lease:
@@ -417,12 +419,12 @@
         paused = await self._pause_databases(members, statuses, term)
         eligible = [item for item in paused if item.database in voters]
         chosen = replacement.choose(eligible, quorum)
-        outcome = Outcome.NOT_ORDERED
+        outcome = PromotionOutcome.NOT_ORDERED
         if chosen is not None:
             outcome = await self._promote(group, chosen, term, token)
-        if outcome is Outcome.NOT_ORDERED:
+        if outcome is PromotionOutcome.NOT_ORDERED:
             await self._resume_databases(group, paused, token)
-        if outcome is not Outcome.DONE:
+        if outcome is not PromotionOutcome.DONE:
             return
         self._health.pop(group, None)
         # The new primary holds every acknowledged write, so databases that are no
@@ -474,12 +476,13 @@
     async def _promote(self, group, database, term, token):
         """Order a promotion with the token that was held when its group was paused.
 
-        Return the Outcome. What was learned under another token may be out of date.
+        What was learned under another token may be out of date. Return the
+        PromotionOutcome.
         """
         left_s = self._order_left_s(token)
         if left_s <= 0:
             logs.event("replacement_stopped", group=group, reason="duty_lost")
-            return Outcome.NOT_ORDERED
+            return PromotionOutcome.NOT_ORDERED
         ordered_at = boottime()
         order = spawn(
             self._orders,
@@ -491,7 +494,7 @@
                 lambda: self._order_left_s(token),
             ),
         )
-        was_unresolved = self._may_change(group)
+        was_unresolved = self._may_still_promote(group)
         self._ordered_in[group] = self.groups.state(group).term
         await asyncio.wait({order})
         status, may_have_run = self._order_result(group, order)
@@ -508,11 +511,11 @@
         if not may_have_run:
             if not was_unresolved:
                 del self._ordered_in[group]
-            return Outcome.NOT_ORDERED
+            return PromotionOutcome.NOT_ORDERED
         is_done = await self._wait_for_promotion(group, database)
-        return Outcome.DONE if is_done else Outcome.UNKNOWN
+        return PromotionOutcome.DONE if is_done else PromotionOutcome.UNKNOWN
 
-    def _may_change(self, group):
+    def _may_still_promote(self, group):
         """Return whether an order for a group may still take effect.
 
         It has done so, or has come too late, once the group has a later term.
@@ -557,7 +560,7 @@
         They stay paused if another instance may hold the duty or an order may still
         take effect: what they receive then could be missing from the next primary.
         """
-        if self._may_change(group) or self._order_left_s(token) <= 0:
+        if self._may_still_promote(group) or self._order_left_s(token) <= 0:
             logs.event("databases_stay_paused", group=group)
             return
         adapter = self.node.ports.databases
--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -141,9 +141,10 @@
 
     def _has_time(self, kind):
         """Return whether an instance that is stopping accepts a statement."""
-        stop, now = self.node.cluster.stop, self.node.now()
+        stop = self.node.cluster.stop
         if stop is None or self.check_access():
             return True
+        now = self.node.now()
         if kind in ("begin", "begin_read"):
             return not stopping.closes_idle_sessions(stop, now)
         limit_s = self.route().timeout_s
--- a/test/test_following.py
+++ b/test/test_following.py
@@ -73,13 +73,17 @@
 
     NEW = StoredItem("p/b", b"1", at(8))
 
+    async def follow_silently(self):
+        """Return a store, and a follower whose watch never ends, with its task."""
+        store = ScriptedStore([([ITEM], at(3))], [])
+        follower = Follower(store, "p/", lambda items: None, Metrics())
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.1)
+        return store, follower, task
+
     def test_miss_no_change_that_the_store_tells_another_call(self):
         async def check():
-            # The first watch never ends.
-            store = ScriptedStore([([ITEM], at(3))], [])
-            follower = Follower(store, "p/", lambda items: None, Metrics())
-            task = asyncio.create_task(follower.run())
-            await asyncio.sleep(0.1)
+            store, follower, task = await self.follow_silently()
             store.watches.append(([self.NEW], at(9)))
             await follower.catch_up(at(9))
             assert set(follower.replica.items) == {"p/a", "p/b"}
@@ -95,10 +99,7 @@
 
     def test_are_replaced_by_a_list_if_the_history_is_lost(self):
         async def check():
-            store = ScriptedStore([([ITEM], at(3))], [])
-            follower = Follower(store, "p/", lambda items: None, Metrics())
-            task = asyncio.create_task(follower.run())
-            await asyncio.sleep(0.1)
+            store, follower, task = await self.follow_silently()
             store.watches.append(HistoryLost("p/"))
             store.lists.append(([self.NEW], at(9)))
             await follower.catch_up(at(9))
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -225,18 +225,24 @@
 
 
 class TestSilentConnections:
+    async def connect(self):
+        """Return a server that echoes, a Network to it and a Link through that."""
+
+        async def echo(name, body, origin):
+            return body
+
+        server = LinkServer(echo, lambda origin: None, Metrics())
+        await server.start("127.0.0.1", 0)
+        port = server._server.sockets[0].getsockname()[1]
+        network = await Network(port).start()
+        link = Link("127.0.0.1", network.port)
+        assert await link.call("echo", b"x", 1.0) == b"x"
+        return server, network, link
+
     def test_are_replaced(self):
         # A connection that goes silent for good shows only by calls that time out.
         async def check():
-            async def handle(name, body, origin):
-                return body
-
-            server = LinkServer(handle, lambda origin: None, Metrics())
-            await server.start("127.0.0.1", 0)
-            port = server._server.sockets[0].getsockname()[1]
-            network = await Network(port).start()
-            link = Link("127.0.0.1", network.port)
-            assert await link.call("echo", b"x", 1.0) == b"x"
+            server, network, link = await self.connect()
             network.silence()
             started_at = asyncio.get_running_loop().time()
             answer = None
@@ -252,13 +258,7 @@
     def test_a_connection_that_was_lost_is_replaced_by_the_next_call(self):
         # The call ended with an unexpected error, and the caller without an answer.
         async def check():
-            async def handle(name, body, origin):
-                return body
-
-            server = LinkServer(handle, lambda origin: None, Metrics())
-            await server.start("127.0.0.1", 0)
-            link = Link("127.0.0.1", server._server.sockets[0].getsockname()[1])
-            await link.call("echo", b"x", 1.0)
+            server, _, link = await self.connect()
             link._stream.drop()
             assert await link.call("echo", b"x", 1.0) == b"x"
             link.close()
--- a/test/test_replacer.py
+++ b/test/test_replacer.py
@@ -312,12 +312,17 @@
 
         holding(check)
 
+    async def send_order(self, state, platform, answer_s):
+        """Send an order that is answered after a time; return the task."""
+        platform.answer_s = answer_s
+        task = asyncio.create_task(state._replace("g", "silent"))
+        await asyncio.sleep(0.3)
+        assert len(platform.orders) == 1 and state._orders
+        return task
+
     def test_end_when_the_duty_is_lost(self, holding):
         async def check(state, store, platform, databases):
-            platform.answer_s = 10.0
-            task = asyncio.create_task(state._replace("g", "silent"))
-            await asyncio.sleep(0.3)
-            assert len(platform.orders) == 1 and state._orders
+            task = await self.send_order(state, platform, 10.0)
             state._lose_duty("key_changed")
             await asyncio.sleep(0.01)
             assert not state._orders
@@ -328,9 +333,7 @@
 
     def test_end_before_the_duty_is_released(self, holding):
         async def check(state, store, platform, databases):
-            platform.answer_s = 0.6
-            task = asyncio.create_task(state._replace("g", "silent"))
-            await asyncio.sleep(0.3)
+            task = await self.send_order(state, platform, 0.6)
             started_at = asyncio.get_running_loop().time()
             ended = []
             store.end_lease = lambda lease: ended.append(lease) or asyncio.sleep(0)
