Log what a replacement rests on and does to each database

Change: lines paused, not_paused, chosen, promotion_ordered, promotion_not_seen, resumed, not_resumed and forgotten_pause; replacement_started has the names and statuses behind the quorum, and the reports of databases carry their group and start time. No change of logic.

--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -158,6 +158,8 @@
                 group=database.group,
                 leaving=database.is_leaving,
                 primary=database.is_primary,
+                born=database.born,
+                joined=old is None,
             )
         state = self.state(database.group)
         if database.is_primary and state.primary is None:
@@ -170,7 +172,13 @@
             return
         del self._by_group[database.group][name]
         self._leaving_since.pop(name, None)
-        logs.event("database_gone", database=name, leaving=database.is_leaving)
+        logs.event(
+            "database_gone",
+            database=name,
+            group=database.group,
+            leaving=database.is_leaving,
+            born=database.born,
+        )
         if database.is_leaving:
             self._left[name] = database.born
             if len(self._left) > MAX_LEFT:
@@ -295,7 +303,13 @@
     def _mark_reborn(self, database):
         # A database that is started again under its name has lost its data.
         self.reborn.add(database.name)
-        logs.event("database_reborn", database=database.name, born=database.born)
+        logs.event(
+            "database_reborn",
+            database=database.name,
+            group=database.group,
+            born=database.born,
+            recorded=self.rosters.get(database.group, {}).get(database.name),
+        )
 
     def quorum_names(self, group):
         """Return the names of all databases that may hold a group's writes."""
@@ -364,7 +378,12 @@
             return
         if name in self.reborn and self._has_caught_up(database.group, status):
             self.reborn.discard(name)
-            logs.event("database_caught_up", database=name)
+            logs.event(
+                "database_caught_up",
+                database=name,
+                group=database.group,
+                index=status.received.index,
+            )
         if status.is_primary and name not in self.reborn:
             self.note_primary(database.group, name, status.term)
 
--- a/dragonflywing/logs.py
+++ b/dragonflywing/logs.py
@@ -13,6 +13,7 @@
 MAX_EVENT_LINES_PER_S = 60
 # About 1 MB of lines, queued while the reader of the output is stalled.
 MAX_QUEUED_LINES = 5000
+MAX_NAMES = 12  # in one field
 # Lines are written in batches, because waking the writer thread costs more than
 # writing a line.
 BATCH_INTERVAL_S = 0.1
@@ -109,6 +110,14 @@
     return text
 
 
+def join(names):
+    """Return names as the value of a field; of many only the first and a count."""
+    names = sorted(names)
+    left_out = len(names) - MAX_NAMES
+    text = ",".join(names[:MAX_NAMES])
+    return f"{text},+{left_out}" if left_out > 0 else text
+
+
 def format_event(name, fields):
     """Return an event as a log line of key=value pairs."""
     pairs = [f"event={name}"]
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -60,6 +60,28 @@
     UNKNOWN = "unknown"
 
 
+def _position(position):
+    return f"{position.term}/{position.index}"
+
+
+def _describe(name, status):
+    """Return a database's status in a form for log lines that list several."""
+    kind = "primary" if status.is_primary else "replica"
+    text = f"{name}:{kind}:{_position(status.received)}"
+    return f"{text}:promised:{status.promised_term}" if status.promised_term else text
+
+
+def _status_fields(status):
+    """Return the fields of a log line about a database's status, none for None."""
+    if status is None:
+        return {}
+    return {
+        "term": status.term,
+        "promised": status.promised_term,
+        "received": _position(status.received),
+    }
+
+
 class Replacer:
     """Acquires the duty if it is free, and replaces primaries while it holds it."""
 
@@ -448,6 +470,8 @@
         ]
         if forgotten:
             self.metrics.count("replacement.forgotten_pause")
+            names = logs.join(item.database for item in forgotten)
+            logs.event("forgotten_pause", group=group, databases=names)
             await self._resume_databases(group, forgotten, self.token)
 
     async def _replace(self, group, reason, plan=None):
@@ -458,6 +482,7 @@
         statuses = await self._statuses(members)
         terms = [max(s.term, s.promised_term) for s in statuses.values()]
         term = max([self.groups.state(group).term, *terms]) + 1
+        read_at = boottime()
         logs.event(
             "replacement_started",
             group=group,
@@ -467,6 +492,14 @@
             primary=self.groups.state(group).primary,
             reached=len(statuses),
             quorum=quorum,
+            sync_replicas=self.groups.sync_replicas(group),
+            list_age_s=self.groups.entries_age(),
+            voters=logs.join(voters),
+            roster=logs.join(self.groups.rosters.get(group, ())),
+            listed=logs.join(item.name for item in members),
+            unlisted=logs.join(voters & self.groups.unlisted.keys()),
+            reborn=logs.join(voters & self.groups.reborn),
+            statuses=logs.join(map(_describe, statuses, statuses.values())),
         )
         self.metrics.count(f"replacement.{reason}")
         if reason == "silent" and any(s.is_primary for s in statuses.values()):
@@ -496,6 +529,16 @@
         paused += await self._pause_databases(others, statuses, term)
         eligible = [item for item in paused if item.database in voters]
         chosen = replacement.choose(eligible, quorum)
+        self._log_choice(
+            group,
+            chosen,
+            paused,
+            voters,
+            quorum=quorum,
+            term=term,
+            token=token,
+            statuses_age_s=boottime() - read_at,
+        )
         outcome = PromotionOutcome.NOT_ORDERED
         if chosen is not None:
             outcome = await self._promote(group, chosen, term, token)
@@ -509,6 +552,20 @@
         listed = {item.name for item in self.groups.members(group)}
         await self._write_roster(group, listed | {item.database for item in paused})
 
+    def _log_choice(self, group, chosen, paused, voters, **fields):
+        """Log which database was chosen and what the choice rests on."""
+        logs.event(
+            "chosen",
+            group=group,
+            database=chosen,
+            **fields,
+            voters=logs.join(voters),
+            listed=logs.join(item.name for item in self.groups.members(group)),
+            reborn=logs.join(voters & self.groups.reborn),
+            paused=logs.join(f"{x.database}:{_position(x.received)}" for x in paused),
+            list_age_s=self.groups.entries_age(),
+        )
+
     async def _prepare_evacuation(self, group, members, statuses, term, plan, quorum):
         """Pause what has to be paused first; wait until a database outside may lead.
 
@@ -557,7 +614,7 @@
 
     async def _pause_databases(self, members, statuses, term):
         """Step down the primary and pause the replicas; return those that did so."""
-        adapter = self.node.ports.databases
+        adapter, asked_at = self.node.ports.databases, boottime()
         calls, targets = [], []
         for item in members:
             status = statuses.get(item.name)
@@ -567,12 +624,29 @@
             targets.append(item)
             calls.append(self.router.command(item.name, text))
         answers = await asyncio.gather(*calls)
+        for item, status in zip(targets, answers, strict=True):
+            self._log_pause(item, statuses[item.name], status, term, asked_at)
         return [
             self._as_paused(item, status)
             for item, status in zip(targets, answers, strict=True)
             if status is not None and not status.is_primary
         ]
 
+    def _log_pause(self, database, before, status, term, asked_at):
+        """Log a database's answer to a PAUSE or STEPDOWN; `status` may be None."""
+        is_paused = status is not None and not status.is_primary
+        logs.event(
+            "paused" if is_paused else "not_paused",
+            group=database.group,
+            database=database.name,
+            command="step_down" if before.is_primary else "pause",
+            for_term=term,
+            **_status_fields(status),
+            before=_position(before.received),
+            born=database.born,
+            took_s=boottime() - asked_at,
+        )
+
     def _as_paused(self, database, status):
         return replacement.PausedDatabase(
             database.name,
@@ -604,6 +678,15 @@
             logs.event("replacement_stopped", group=group, reason="duty_lost")
             return PromotionOutcome.NOT_ORDERED
         ordered_at = boottime()
+        logs.event(
+            "promotion_ordered",
+            group=group,
+            database=database,
+            term=term,
+            token=token,
+            known_term=self.groups.state(group).term,
+            left_s=left_s,
+        )
         order = spawn(
             self._orders,
             self.node.ports.promote(
@@ -632,7 +715,7 @@
             if not was_unresolved:
                 del self._ordered_in[group]
             return PromotionOutcome.NOT_ORDERED
-        is_done = await self._wait_for_promotion(group, database)
+        is_done = await self._wait_for_promotion(group, database, ordered_at)
         return PromotionOutcome.DONE if is_done else PromotionOutcome.UNKNOWN
 
     def _may_still_promote(self, group):
@@ -662,16 +745,28 @@
             may_have_run = status not in REFUSED_STATUSES
         return status, may_have_run
 
-    async def _wait_for_promotion(self, group, database):
+    async def _wait_for_promotion(self, group, database, ordered_at):
         end = boottime() + PROMOTION_EFFECT_TIMEOUT_S
         while boottime() < end:
             status = await self.router.status_of(database)
             if status is not None and status.is_primary:
                 self.groups.note_status(database, status)
                 self.metrics.count("promotion.done")
-                logs.event("promoted", group=group, database=database, term=status.term)
+                logs.event(
+                    "promoted",
+                    group=group,
+                    database=database,
+                    **_status_fields(status),
+                    since_order_s=boottime() - ordered_at,
+                )
                 return True
             await asyncio.sleep(PROMOTION_POLL_S)
+        logs.event(
+            "promotion_not_seen",
+            group=group,
+            database=database,
+            since_order_s=boottime() - ordered_at,
+        )
         return False
 
     async def _resume_databases(self, group, paused, token):
@@ -681,9 +776,24 @@
         take effect: what they receive then could be missing from the next primary.
         """
         if self._may_still_promote(group) or self._order_left_s(token) <= 0:
-            logs.event("databases_stay_paused", group=group)
+            logs.event(
+                "databases_stay_paused",
+                group=group,
+                token=token,
+                databases=logs.join(item.database for item in paused),
+                ordered=self._may_still_promote(group),
+            )
             return
         adapter = self.node.ports.databases
-        await asyncio.gather(
+        answers = await asyncio.gather(
             *[self.router.command(item.database, adapter.RESUME) for item in paused]
         )
+        for item, status in zip(paused, answers, strict=True):
+            logs.event(
+                "resumed" if status else "not_resumed",
+                group=group,
+                database=item.database,
+                token=token,
+                **_status_fields(status),
+                paused_at=_position(item.received),
+            )
