Log each commit that a caller was told of, with its position

Cause: a commit in a transaction had no line, and the lines of writes had no position and were left out among those of reads. Change: the line committed, with term and index, under its own limit.

--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -353,6 +353,9 @@
         if handle:
             return answer
         self.transaction = transaction._replace(handle="")
+        if kind == "commit":
+            deadline = self._deadline(self.route())
+            self._log_outcome(op, kind, req, transaction.home, answer, 0, deadline)
         verdict = outcomes.verdict(answer.code)
         if kind != "commit" and verdict is Verdict.MAY_HAVE_RUN:
             # Without its commit the transaction has no effect.
@@ -461,8 +464,13 @@
         return self._resolve_unknown_outcome(kind, answer)
 
     def _log_outcome(self, op, kind, req, home, answer, attempt, deadline):
+        name, fields = "failed" if answer.code else "served", {}
+        is_commit = kind == "commit" or (kind == "write" and self.transaction is None)
+        if is_commit and not answer.code and answer.position is not None:
+            # Under another name, so that many reads don't suppress its line.
+            name, fields = "committed", answer.position._asdict()
         logs.event(
-            "served" if not answer.code else "failed",
+            name,
             request=op.statement_id,
             kind=kind,
             code=answer.code or "ok",
@@ -472,6 +480,7 @@
             left_s=deadline - self.node.now(),
             max_age_s=req.max_age,
             version=self.node.directory.version(),
+            **fields,
         )
 
     def _set_opening_and_bounds(self, req, route, kind, database):
