Explain the replacements of a group's primaries from all logs

Cause: an engineer had to order the lines of a replacement by hand and to notice which pause ended before the promotion took effect.

--- a/dragonflywing/ui/ops.py
+++ b/dragonflywing/ui/ops.py
@@ -10,6 +10,7 @@
     checking,
     configuration,
     explain,
+    explain_group,
     operations,
     typed,
 )
@@ -169,12 +170,26 @@
     def explain(self, request, *files):
         """Show the log lines of a request and of the state behind its decisions.
 
+        With `group` and a group's name in place of the request, show how the group's
+        primaries were replaced.
         Example: dfw-ops explain 5c0e7a21d94b36f8 front-1.log front-2.log
+        Example: dfw-ops explain group orders front-1.log front-2.log
         """
+        group = None
+        if request == "group" and files:
+            group, *files = files
         lines = []
         for path in files:
             with open(path, encoding="utf-8", errors="replace") as file:
                 lines += explain.parse(os.path.basename(path), file.read())
+        if group is not None:
+            text = explain_group.describe(str(group), lines)
+            if not text:
+                raise UserError(
+                    f"no replacement of {group!r} in {len(files)} log files"
+                )
+            print("\n".join(text))
+            return
         selected = explain.explain(str(request), lines)
         if not selected:
             raise UserError(f"request {request!r} not found in {len(files)} log files")
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -14,7 +14,7 @@
 import aiohttp
 from aiohttp import web
 
-from dragonflywing import explain
+from dragonflywing import explain, explain_group
 from dragonflywing.load.deployment import PortPool
 from dragonflywing.platform import lines
 from dragonflywing.standin import platform_store
@@ -335,12 +335,19 @@
 
     def explain(self, statement_id):
         """Return the lines in the logs of all instances that explain a request."""
-        log_lines = [
+        return explain.explain(statement_id, self.log_lines())
+
+    def explain_group(self):
+        """Return the history of the group's replacements as lines of text."""
+        return explain_group.describe(self.group.name, self.log_lines())
+
+    def log_lines(self):
+        """Return the lines in the logs of all instances."""
+        return [
             line
             for name in self.logs
             for line in explain.parse(name, self.log_of(name))
         ]
-        return explain.explain(statement_id, log_lines)
 
     async def stop(self):
         """End all processes and servers of the deployment."""
--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -118,6 +118,10 @@
             )
             for item in acknowledged:
                 assert primary.value(f"n{item}")[1] == str(item)
+            await asyncio.sleep(0.2)
+            text = "\n".join(deployment.explain_group())
+            assert f"reason silent, db-0 -> {primary.name}, in effect as term 2" in text
+            assert "acknowledged at db-0: " in text and "note: " not in text
 
 
 class TestUnlistedReplica:
