--- a/dragonflywing/explain_group.py
+++ b/dragonflywing/explain_group.py
@@ -55,7 +55,9 @@
     }
 )
 DUTY = frozenset({"duty_taken", "duty_lost", "duty_left", "duty_not_given_up"})
-# What callers were told, from this long before a replacement to as long after it.
+# What callers were told, and whether lines of it are missing.
+TOLD = frozenset({"committed", "failed", "acknowledgement_held", "lines_left_out"})
+# What callers were told is counted from so long before a replacement to as long after.
 NEAR_S = 2.0
 MAX_SHOWN_LINES = 60  # for each replacement
 MAX_SHOWN_COMMITS = 5
@@ -96,10 +98,12 @@
 
 
 def to_events(lines):
-    """Return explain.Lines as Events in order of time."""
+    """Return those explain.Lines that may be shown as Events in order of time."""
+    kinds = STEPS | OBSERVED | DUTY | TOLD
     events = [
         Event(_seconds(x.timestamp), *x[:3], parse_fields(x.text), x.text)
         for x in lines
+        if x.kind in kinds
     ]
     return sorted(events, key=lambda item: (item.at, item.source))
 
@@ -390,9 +394,9 @@
 
 def _missing_line_notes(replacement, events):
     for item in _near(replacement, events):
-        if item.kind in ("lines_left_out", "lines_dropped"):
-            kind = item.fields.get("kind", "all events")
-            yield f"{item.source} left out {item.fields.get('count')} lines of {kind}"
+        if item.kind == "lines_left_out":
+            count, kind = item.fields.get("count"), item.fields.get("kind")
+            yield f"{item.source} left out {count} lines of {kind}"
 
 
 # What callers were told
