--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -496,7 +496,7 @@
             list_age_s=self.groups.entries_age(),
             voters=logs.join(voters),
             roster=logs.join(self.groups.rosters.get(group, ())),
-            listed=logs.join(item.name for item in members),
+            listed=logs.join(item.name for item in self.groups.members(group)),
             unlisted=logs.join(voters & self.groups.unlisted.keys()),
             reborn=logs.join(voters & self.groups.reborn),
             statuses=logs.join(map(_describe, statuses, statuses.values())),
