--- a/dragonflywing/explain_group.py
+++ b/dragonflywing/explain_group.py
@@ -61,6 +61,8 @@
 NEAR_S = 2.0
 MAX_SHOWN_LINES = 60  # for each replacement
 MAX_SHOWN_COMMITS = 5
+# An order takes effect within this time, or never.
+EFFECT_S = 15.0
 OLD_LIST_S = 2.0  # a list of databases of this age is out of the ordinary
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 
@@ -75,13 +77,21 @@
     fields: dict
     text: str
 
+    def number(self, key):
+        """Return a field as a number, 0 if the line has none, as it was cut off."""
+        text = self.fields.get(key, "")
+        try:
+            return int(text) if text.isdigit() else float(text)
+        except ValueError:
+            return 0
+
 
 class Replacement(NamedTuple):
     """A replacement of a primary: its lines, and the steps that are looked at.
 
     `effect` is the first line of any instance that has the ordered database as the
-    primary of a later term. `end` is the time of the effect or of the next
-    replacement's start.
+    primary of a later term. `end` is its time. If there is none, `end` is that of the
+    next replacement's start, or when an order would be too late.
     """
 
     start: Event
@@ -94,7 +104,7 @@
 
     def token(self):
         """Return the fencing token of its holder."""
-        return int(self.start.fields.get("token", 0))
+        return self.start.number("token")
 
 
 def to_events(lines):
@@ -165,7 +175,9 @@
     if order is None:  # logs of earlier versions
         order = next((x for x in own if x.kind == "promotion"), None)
     effect = None if order is None else _effect(order, events)
-    next_at = starts[number + 1].at if number + 1 < len(starts) else float("inf")
+    end = (order or start).at + EFFECT_S
+    if number + 1 < len(starts):
+        end = min(end, starts[number + 1].at)
     return Replacement(
         start,
         lines,
@@ -173,18 +185,20 @@
         next((item for item in own if item.kind == "chosen"), None),
         order,
         effect,
-        effect.at if effect else next_at,
+        effect.at if effect else end,
     )
 
 
 def _effect(order, events):
-    known_term = int(order.fields.get("known_term", int(order.fields["term"]) - 1))
+    known_term = order.number("term") - 1
+    if "known_term" in order.fields:
+        known_term = order.number("known_term")
     for item in events:
         if (
             item.kind in ("primary", "promoted")
-            and item.at >= order.at
-            and item.fields["database"] == order.fields["database"]
-            and int(item.fields["term"]) > known_term
+            and order.at <= item.at <= order.at + EFFECT_S
+            and item.fields.get("database") == order.fields.get("database")
+            and item.number("term") > known_term
         ):
             return item
     return None
@@ -222,7 +236,7 @@
 
 def _age_notes(replacement):
     for item in (replacement.start, replacement.choice):
-        age_s = float(item.fields.get("list_age_s", 0)) if item else 0.0
+        age_s = item.number("list_age_s") if item else 0
         if age_s > OLD_LIST_S:
             yield f"the list of databases was {age_s:.1f} s old at {item.kind}"
 
@@ -230,21 +244,23 @@
 def _step_notes(replacement):
     for item in replacement.lines:
         if item.kind == "permits_revoked" and item.fields.get("lapsed"):
-            yield f"permits lapsed unconfirmed: {item.fields['lapsed']}"
+            yield f"permits lapsed unconfirmed: {item.fields.get('lapsed')}"
         elif item.kind == "databases_not_read":
             yield f"the list could not be read: {item.fields.get('error')}"
         elif item.kind == "order_awaited":
-            yield f"an earlier order of {item.fields['database']} was awaited"
+            yield f"an earlier order of {item.fields.get('database')} was awaited"
         elif item.kind == "not_paused":
-            yield f"{item.fields['database']} did not answer, or stayed the primary"
+            yield f"{item.fields.get('database')} did not answer, or stayed the primary"
 
 
 def _pause_notes(replacement, events):
     """Yield which databases did not stay paused until the effect."""
+    if replacement.order is None:
+        return
     first_told = _first_told(events)
     for pause in replacement.paused:
-        name, received = pause.fields["database"], pause.fields.get("received")
-        if int(pause.fields.get("promised", 0)) < int(pause.fields.get("for_term", 0)):
+        name, received = pause.fields.get("database"), pause.fields.get("received")
+        if pause.number("promised") < pause.number("for_term"):
             if pause.fields.get("command") == "pause":
                 yield f"{name} answered a pause without promising its term"
         for item in events:
@@ -304,18 +320,20 @@
 
 def _join_notes(replacement, events):
     """Yield which databases started that had not been paused."""
-    paused = {item.fields["database"] for item in replacement.paused}
+    if replacement.order is None:
+        return
+    paused = {item.fields.get("database") for item in replacement.paused}
     first_told = _first_told(events)
     for item in replacement.lines:
         is_start = item.kind == "database_reborn" or item.fields.get("joined") == "True"
         if (
             is_start
             and item.at <= replacement.end
-            and item.fields["database"] not in paused
+            and item.fields.get("database") not in paused
             and first_told[_born_key(item)] is item
         ):
             yield (
-                f"{item.fields['database']} restarted or joined unpaused "
+                f"{item.fields.get('database')} restarted or joined unpaused "
                 f"{item.at - replacement.start.at:.3f} s after the start, "
                 f"{_before_effect(replacement, item)}"
             )
@@ -326,14 +344,14 @@
     if order is None:
         return
     if effect is None:
-        yield f"no effect of the order of {order.fields['database']} was seen"
+        yield f"no effect of the order of {order.fields.get('database')} was seen"
     for other in later:
         if other.order is None:
             continue
         if effect is not None and other.order.at < effect.at:
             yield (
                 f"the effect came after a later order, of "
-                f"{other.order.fields['database']} by {other.order.source}"
+                f"{other.order.fields.get('database')} by {other.order.source}"
             )
 
 
@@ -343,8 +361,8 @@
         received = _position(pause.fields.get("received"))
         if chosen and received and received > chosen:
             yield (
-                f"{pause.fields['database']} was paused at "
-                f"{pause.fields['received']}, with a longer log than the chosen one"
+                f"{pause.fields.get('database')} was paused at "
+                f"{pause.fields.get('received')}, with a longer log than the chosen one"
             )
 
 
@@ -353,7 +371,7 @@
     if replacement.order is None:
         return None
     for pause in replacement.paused:
-        if pause.fields["database"] == replacement.order.fields["database"]:
+        if pause.fields.get("database") == replacement.order.fields.get("database"):
             return _position(pause.fields.get("received"))
     return None
 
@@ -363,19 +381,19 @@
     chosen = _chosen_position(replacement)
     if chosen is None or replacement.effect is None:
         return
-    new_term = int(replacement.effect.fields["term"])
+    new_term = replacement.effect.number("term")
     names = _names(replacement)
     commits = []
     for item in events:
         if item.kind == "committed" and item.fields.get("database") in names:
-            position = int(item.fields["term"]), int(item.fields["index"])
+            position = item.number("term"), item.number("index")
             if chosen < position and position[0] < new_term:
                 commits.append(item)
     for item in commits[:MAX_SHOWN_COMMITS]:
         yield (
             f"request {item.fields.get('request')} was acknowledged by {item.source} "
-            f"at {item.fields['database']} "
-            f"{item.fields['term']}/{item.fields['index']}, after the position "
+            f"at {item.fields.get('database')} "
+            f"{item.fields.get('term')}/{item.fields.get('index')}, after the position "
             f"{chosen[0]}/{chosen[1]} of the chosen database"
         )
     if len(commits) > MAX_SHOWN_COMMITS:
@@ -385,7 +403,7 @@
 def _names(replacement):
     """Return the names of the databases that a replacement knew."""
     fields = replacement.start.fields
-    names = {item.fields["database"] for item in replacement.paused}
+    names = {item.fields.get("database") for item in replacement.paused}
     names |= {fields.get("primary")}
     for key in ("voters", "listed", "roster"):
         names |= set(fields.get(key, "").split(","))
@@ -418,15 +436,16 @@
         if fields.get("database") not in names:
             continue
         if item.kind == "committed":
-            key = f"acknowledged at {fields['database']}"
+            key = f"acknowledged at {fields.get('database')}"
+            position = f"{fields.get('term')}/{fields.get('index')}"
             last[key] = (
-                f", the last {fields['term']}/{fields['index']} by {item.source} "
+                f", the last {position} by {item.source} "
                 f"at {item.at - replacement.start.at:+.3f}"
             )
         elif item.kind == "failed" and fields.get("kind") in ("write", "commit"):
-            key = f"{fields.get('code')} at {fields['database']}"
+            key = f"{fields.get('code')} at {fields.get('database')}"
         elif item.kind == "acknowledgement_held":
-            key = f"held, {fields.get('verdict')} at {fields['database']}"
+            key = f"held, {fields.get('verdict')} at {fields.get('database')}"
         else:
             continue
         counts[key] += 1
@@ -465,11 +484,11 @@
         f"token {replacement.token()}, "
         f"reason {start.fields.get('reason')}, "
         f"{start.fields.get('primary')} -> "
-        f"{order.fields['database'] if order else 'none ordered'}"
+        f"{order.fields.get('database') if order else 'none ordered'}"
     )
     if effect is not None:
         text += (
-            f", in effect as term {effect.fields['term']} "
+            f", in effect as term {effect.fields.get('term')} "
             f"{effect.at - order.at:.3f} s after the order"
         )
     return text
--- a/test/test_explain_group.py
+++ b/test/test_explain_group.py
@@ -69,6 +69,13 @@
         text = describe([*USUAL, ("a", 2.4, "paused group=h database=q received=1/9")])
         assert not any("database=q" in line for line in text)
 
+    @pytest.mark.parametrize("number", range(len(USUAL)))
+    def test_copes_with_a_line_that_was_cut_off(self, number):
+        source, seconds, event = USUAL[number]
+        for length in range(1, len(event)):
+            cut = (source, seconds, event[:length])
+            describe([*USUAL[:number], cut, *USUAL[number + 1 :]])
+
     def test_command_prints_it(self, tmp_path, capsys):
         path = tmp_path / "a.log"
         path.write_text(to_log(USUAL))
@@ -99,6 +106,20 @@
         reborn = "database_reborn database=z group=g born=9"
         assert notes(("c", 3.6, reborn)) == []
 
+    def test_a_resumption_without_an_order_is_ordinary(self):
+        ended = [item for item in USUAL if item[1] < 2.2]
+        resumed = ("a", 2.3, "resumed group=g database=z token=7")
+        refused = ("a", 2.2, "chosen group=g database=None token=7")
+        text = describe([*ended, refused, resumed])
+        assert "x -> none ordered" in text[2]
+        assert not any("note: " in line for line in text)
+
+    def test_a_later_promotion_is_not_the_effect(self):
+        early = [item for item in USUAL if item[1] < 3.0]
+        text = describe([*early, ("b", 25.0, "primary group=g database=y term=3")])
+        assert "in effect" not in text[2]
+        assert "  note: no effect of the order of y was seen" in text
+
     def test_a_database_that_joined_unpaused(self):
         (note,) = notes(("c", 2.5, "database database=w group=g born=5 joined=True"))
         assert "w restarted or joined unpaused 0.500 s after the start" in note
