--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -54,10 +54,12 @@
             await disconnected.query("BEGIN")
             await disconnected.query("WRITE a 3")
             disconnected.close()
-            code, _, state = await caller.query("COMMIT")
+            code, _, state = await caller.query("COMMIT", "committing")
             assert (code, state) == ("", "I")
             await asyncio.sleep(0.3)
             assert (await caller.query("READ a"))[1][0].endswith(":2")
+            (line,) = deployment.explain("committing")[-1:]
+            assert line.kind == "committed" and "term=1 index=1" in line.text
 
 
 class TestSessions:
