Let the stand-in's databases join, leave, restart and be cut while an order is open

Orders can take effect at a random time each, a replaced primary may go on, and each promotion is compared with what callers had been told.

--- a/dragonflywing/standin/platform_database.py
+++ b/dragonflywing/standin/platform_database.py
@@ -4,12 +4,20 @@
 import hashlib
 from typing import NamedTuple
 
+from dragonflywing.control import CONTROL_WORKSPACE
 from dragonflywing.platform import lines
 from dragonflywing.platform.lines import encode
 
 STATEMENT_S = 0.002
 CONNECT_S = 0.012
 ACK_TIMEOUT_S = 0.6  # until a write fails because too few replicas received it
+DARK_S = 3.0  # until a connection that is cut is dropped
+DARK_POLL_S = 0.02
+
+
+def ignores_control(connection):
+    """Return whether a connection is one for control statements."""
+    return connection.workspace == CONTROL_WORKSPACE
 
 
 class LogEntry(NamedTuple):
@@ -23,50 +31,99 @@
     """A group of databases that replicate one log.
 
     `executed` holds (database, statement id, workspace, session values) of each
-    executed statement, in order.
+    executed statement, in order. `promote_s` is the time from an order to its effect,
+    or a function that returns that of the next order. `cuts` holds the pairs of
+    databases, as frozensets of their names, that can't reach each other. `on_effect`
+    is called with each database when it is promoted.
     """
 
-    def __init__(self, name, sync_replicas=1, lag_s=0.01, promote_s=0.0):
+    def __init__(
+        self, name, sync_replicas=1, lag_s=0.01, promote_s=0.0, step_down_s=0.0
+    ):
         self.name = name
-        self.promote_s = promote_s  # from the order to its effect
+        self.promote_s = promote_s
+        # Until a primary that has been replaced follows the new one.
+        self.step_down_s = step_down_s
         self.sync_replicas = sync_replicas
         self.lag_s = lag_s
         self.databases = {}
+        self.cuts = set()
+        self.on_effect = lambda database: None
         self.executed = []
 
+    def leader(self):
+        """Return the primary of the latest term, None if there is none."""
+        primaries = [x for x in self.databases.values() if x.is_up and x.is_primary]
+        return max(primaries, key=lambda item: item.term, default=None)
+
+    def primary_of(self, database):
+        """Return the primary that a database receives from, None if there is none."""
+        reached = [
+            item
+            for item in self.databases.values()
+            if item.is_primary
+            and item.term >= database.term
+            and self._reach(database, item)
+        ]
+        return max(reached, key=lambda item: item.term, default=None)
+
     def promote(self, database):
         """Make a database the primary of the next term; return the HTTP status."""
         new_primary = self.databases.get(database)
         if new_primary is None or not new_primary.is_up:
             return 409
-        if self.promote_s:
+        promote_s = self.promote_s() if callable(self.promote_s) else self.promote_s
+        if promote_s:
             loop = asyncio.get_running_loop()
-            loop.call_later(self.promote_s, self._take_effect, new_primary)
+            loop.call_later(promote_s, self._take_effect, new_primary)
         else:
             self._take_effect(new_primary)
         return 200
 
     def _take_effect(self, new_primary):
-        if not new_primary.is_up or new_primary.is_primary:
+        if self.databases.get(new_primary.name) is not new_primary:
+            return
+        if not new_primary.is_up or new_primary is self.leader():
             return
         term = max(item.term for item in self.databases.values()) + 1
         for item in self.databases.values():
-            if item.is_up and item is not new_primary:
-                item.is_primary = False
-                item.log = item.log[: len(new_primary.log)]
-                item.applied = min(item.applied, len(item.log))
-                item.term = term
             item.promised = 0
         new_primary.term = term
         new_primary.is_primary = True
+        for item in list(self.databases.values()):
+            if item is not new_primary and self._reach(item, new_primary):
+                if item.is_primary and self.step_down_s:
+                    self._follow_later(item)
+                else:
+                    item.follow(new_primary)
+        self.on_effect(new_primary)
+
+    def heal(self, database):
+        """End a database's cuts; it follows the primary if it was replaced."""
+        self.cuts = {pair for pair in self.cuts if database.name not in pair}
+        database.ignores = lambda connection: False
+        self._follow_later(database)
+
+    def _follow_later(self, database):
+        def follow():
+            leader = self.leader()
+            if leader not in (None, database) and self._reach(database, leader):
+                database.follow(leader)
+
+        asyncio.get_running_loop().call_later(self.step_down_s, follow)
+
+    def _reach(self, database, other):
+        pair = frozenset((database.name, other.name))
+        return database.is_up and other.is_up and pair not in self.cuts
 
     async def replicate(self, primary, entry):
         """Copy the log to the replicas; return whether enough of them received it."""
         received = 0
         for item in self.databases.values():
-            if item is primary or not item.is_up or item.promised or item.is_primary:
+            if item is primary or item.promised or item.is_primary or item.is_cut_off:
                 continue
-            if item.is_cut_off:
+            # A replica of a later term follows another primary.
+            if not self._reach(primary, item) or item.term > primary.term:
                 continue
             item.log = list(primary.log)
             item.term = primary.term
@@ -85,6 +142,9 @@
         self.is_up = True
         self.is_cut_off = False  # it receives nothing from the primary
         self.term = 1
+        self.born = 1  # its start time in ms
+        # Whether the statements on a connection are held, as if it were cut.
+        self.ignores = lambda connection: False
         self.promised = 0  # the term for which it is paused, 0 if it is not paused
         self.log = []
         self.applied = 0
@@ -115,13 +175,25 @@
     async def restart(self):
         """Come back with the log, as a replica if another one leads meanwhile."""
         self.is_up, self.promised = True, 0
-        others = self.group.databases.values()
-        primary = next((x for x in others if x.is_primary and x is not self), None)
-        if primary is not None:
+        self.catch_up()
+        await self.start()
+
+    def catch_up(self):
+        """Receive all of the primary's log, unless it leads itself."""
+        primary = self.group.primary_of(self)
+        if primary not in (None, self):
             self.is_primary, self.term = False, primary.term
             self.log = list(primary.log)
             self.apply(len(self.log))
-        await self.start()
+
+    def follow(self, primary):
+        """Become a replica of a primary; drop what its log lacks."""
+        self.is_primary, self.term = False, primary.term
+        pairs = enumerate(zip(self.log, primary.log, strict=False))
+        common = min(len(self.log), len(primary.log))
+        common = next((i for i, (own, other) in pairs if own is not other), common)
+        self.log = self.log[:common]
+        self.applied = min(self.applied, common)
 
     def apply(self, count):
         """Make the first `count` entries of the log visible to reads."""
@@ -190,6 +262,8 @@
         line = lines.decode(await self.reader.readuntil(lines.LINE_END))
         _, service, rest = line.split(" ", 2)
         self.workspace, _, expected = rest.partition(" ")
+        if not await self._is_heard():
+            return
         if service != database.group.name or expected not in ("", database.name):
             self.writer.write(encode("ERROR", "WRONGNODE", database.name))
             return
@@ -200,7 +274,7 @@
             query = lines.parse_query(
                 lines.decode(await self.reader.readuntil(lines.LINE_END))
             )
-            if query is None:
+            if query is None or not await self._is_heard():
                 return
             error = await self._handle(query)
             if error:
@@ -213,6 +287,15 @@
                 return
             self._send_ready()
 
+    async def _is_heard(self):
+        """Wait until the connection isn't cut; return False if that takes too long."""
+        end = asyncio.get_running_loop().time() + DARK_S
+        while self.database.ignores(self):
+            if asyncio.get_running_loop().time() > end:
+                return False
+            await asyncio.sleep(DARK_POLL_S)
+        return True
+
     def _send_ready(self):
         self.writer.write(encode("READY", self.state, self.database.position()))
 
--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -74,7 +74,7 @@
 
 
 class Deployment:
-    """One group of three databases, a store and entry instances."""
+    """One group of databases, a store and entry instances."""
 
     def __init__(
         self,
@@ -84,7 +84,10 @@
         slots=2,
         workspaces=(),
         limits=None,
+        databases=3,
     ):
+        self.databases = databases  # at the start
+        self.database_count = databases  # names given so far
         self.instances = instances
         self.evacuate_ms = evacuate_ms  # None: instances follow no evacuations
         self.slots = slots
@@ -119,12 +122,12 @@
         await web.TCPSite(runner, "127.0.0.1", port).start()
         self.store_port = port
         self._tasks.append(asyncio.create_task(self.platform.expire()))
-        for number, data_centre in enumerate(DATA_CENTRES):
+        for number in range(self.database_count):
             database = StandinDatabase(
                 self.group, f"db-{number}", number == 0, self.slots
             )
             await database.start()
-            self.put_database_entry(database, data_centre)
+            self.put_database_entry(database)
         self.put_configuration()
         await self.start_instances()
 
@@ -134,8 +137,53 @@
             await self.start_instance(f"front-{number}", DATA_CENTRES[number % 3])
         await asyncio.gather(*[self.wait_ready(name) for name in self.processes])
 
-    def put_database_entry(self, database, data_centre, state="ready"):
+    async def join(self, log=(), term=1):
+        """Add a database, which receives at once; return it."""
+        name = f"db-{self.database_count}"
+        self.database_count += 1
+        database = StandinDatabase(self.group, name, slots=self.slots)
+        database.born = time.time_ns() // 10**6
+        database.log, database.term = list(log), term
+        database.apply(len(database.log))
+        database.catch_up()
+        await database.start()
+        self.put_database_entry(database)
+        return database
+
+    async def leave(self, database, drain_s):
+        """Let a database leave; it receives and counts until it has ended.
+
+        One that leads ends once it was replaced.
+        """
+        self.put_database_entry(database, state="draining")
+        await asyncio.sleep(drain_s)
+        while database.is_primary:
+            await asyncio.sleep(0.05)
+        self.remove(database)
+
+    async def rename(self, database):
+        """Let a database come back under another name, with its log."""
+        self.remove(database)
+        return await self.join(database.log, database.term)
+
+    def remove(self, database):
+        """End a database; its log and its entry are gone."""
+        database.close()
+        self.group.databases.pop(database.name, None)
+        self.platform.delete(f"servers/{database.name}")
+
+    async def restart_database(self, database, down_s):
+        """Restart a database's process; it keeps its log and forgets its pause."""
+        database.close()
+        await asyncio.sleep(down_s)
+        database.born = time.time_ns() // 10**6
+        await database.restart()
+        self.put_database_entry(database)
+
+    def put_database_entry(self, database, data_centre=None, state="ready"):
         """Write a database's entry to the store, as the database does itself."""
+        number = int(database.name.rpartition("-")[2])
+        data_centre = data_centre or DATA_CENTRES[number % len(DATA_CENTRES)]
         host, port = database.address
         entry = {
             "service": self.group.name,
@@ -145,7 +193,7 @@
             "state": state,
             "db_role": "primary" if database.is_primary else "replica",
             "sequence": 1,
-            "born": 1,
+            "born": database.born,
         }
         self.platform.put(f"servers/{database.name}", platform_store.encode(entry))
 
@@ -263,6 +311,33 @@
         for process in self.processes.values():
             await process.wait()
 
+    def instance_of(self, port):
+        """Return the instance that has a connection from a local port, or None."""
+        with open("/proc/self/net/tcp", encoding="ascii") as file:
+            rows = [line.split() for line in file]
+        inodes = {row[9] for row in rows if row[1].endswith(f":{port:04X}")}
+        links = {f"socket:[{inode}]" for inode in inodes}
+        for name, process in self.processes.items():
+            folder = f"/proc/{process.pid}/fd"
+            with contextlib.suppress(OSError):
+                for entry in os.scandir(folder):
+                    with contextlib.suppress(OSError):
+                        if os.readlink(entry) in links:
+                            return name
+        return None
+
+    def cut_from(self, database, names):
+        """Cut some instances' connections to a database."""
+        found = {}  # by connection
+
+        def ignores(connection):
+            if connection not in found:
+                port = connection.writer.get_extra_info("peername")[1]
+                found[connection] = self.instance_of(port)
+            return found[connection] in names
+
+        database.ignores = ignores
+
     def duty_holder(self):
         """Return the name of the instance that holds the duty, None if it is free."""
         item = self.platform.items.get("dfw/duty/promotion")
--- a/test/platform/test_hand_overs.py
+++ b/test/platform/test_hand_overs.py
@@ -1,24 +1,75 @@
 """Hand-overs of the promotion duty while orders are under way, with processes.
 
 Long runs: python -m test.platform.test_hand_overs FIRST_SEED COUNT ROUNDS INSTANCES
-[MOVE ...], where the moves are cut, cut_duty, freeze and end.
+[MOVE ...] [databases=N] [effect=S]. The holder's moves are cut, cut_duty, freeze and
+end. With moves of the databases (join, leave, restart, rename), or losses of the
+primary (crash, unheard, cut_some, cut_all, cut_replicas), these happen from shortly
+before an order to its effect, which comes up to S seconds (5) after it.
 """
 
 import asyncio
 import contextlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
+from collections import Counter
+from typing import NamedTuple
 
 import pytest
 
+from dragonflywing.standin.platform_database import ignores_control
 from test.helper import run
 from test.platform.deployment import DATA_CENTRES, deployed
 
 MAX_DELAY_S = 4.0  # from the crash of a primary to what happens to the duty's holder
 MAX_LENGTH_S = 5.5  # of cuts and freezes
 REPLACED_WITHIN_S = 20.0
+RETURNS_AFTER_S = 12.0  # a primary that is not replaced
+MIN_EFFECT_S = 0.3
+MAX_EFFECT_S = 5.0
+HOLDER_MOVES = ("cut", "cut_duty", "freeze", "end")
+DATABASE_MOVES = ("join", "leave", "restart", "rename")
+LOSSES = ("crash", "unheard", "cut_some", "cut_all", "cut_replicas")
+
+
+class Writes:
+    """The writes that callers were told of, and those that a primary lacks."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.acknowledged = {}
+        self.lost = {}  # {item: the promotion that lost it}
+        self.effects = []
+        self.longest_gap_s = 0.0
+        self._last_at = asyncio.get_running_loop().time()
+        deployment.group.on_effect = self.note_effect
+
+    def note(self, item, data):
+        """Note an acknowledged write; the present primary has to hold it."""
+        now = asyncio.get_running_loop().time()
+        self.longest_gap_s = max(self.longest_gap_s, now - self._last_at)
+        self._last_at = now
+        self.acknowledged[item] = data
+        leader = self.deployment.group.leader()
+        if leader is not None and leader.value(item)[1] != data:
+            self.lost.setdefault(item, f"acknowledged later than term {leader.term}")
+
+    def note_effect(self, database):
+        """Compare a promoted database's log with what was acknowledged."""
+        self.effects.append(f"{database.name}@{database.term}.{len(database.log)}")
+        for item in self.deployment.group.databases.values():
+            if item.is_up:
+                self.deployment.put_database_entry(item)
+        self.compare(database)
+
+    def compare(self, database):
+        """Note the acknowledged writes that a primary's log lacks."""
+        held = {item: data for entry in database.log for _, item, data in entry.writes}
+        for item, data in self.acknowledged.items():
+            if held.get(item) != data:
+                self.lost.setdefault(item, f"promotion of {self.effects[-1:]}")
 
 
 class HandOvers:
@@ -27,9 +78,11 @@
     def __init__(self, deployment, seed):
         self.deployment = deployment
         self.rng = random.Random(seed)
-        self.kinds = ["cut", "cut_duty", "freeze", "end"]
-        self.acknowledged = {}
+        self.kinds = list(HOLDER_MOVES)
+        self.writes = Writes(deployment)
         self.moves = []
+        self.lower_tokens = 0
+        self.unreplaced = 0  # primaries that came back before another one led
 
     async def write(self, name):
         """Write on one instance's sessions until cancelled."""
@@ -42,7 +95,7 @@
                     item = f"{name}.{number}"
                     code, _, _ = await caller.query(f"WRITE {item} {number}")
                     if not code:
-                        self.acknowledged[item] = str(number)
+                        self.writes.note(item, str(number))
                     await asyncio.sleep(0.02)
             await asyncio.sleep(0.1)
 
@@ -151,51 +204,220 @@
         broken, greatest = [], 0
         for holder, token, _, database in self.deployment.platform.promotions:
             if token < greatest:
+                self.lower_tokens += 1
                 broken.append(f"{holder} orders {database}: {token} after {greatest}")
                 broken += self.find_logged(holder, token)
             greatest = max(greatest, token)
-        primary = self.primary()
-        for item, data in self.acknowledged.items():
-            if primary.value(item)[1] != data:
-                broken.append(f"{primary.name} lacks {item}")
+        self.writes.compare(self.deployment.group.leader())
+        for cause, number in Counter(self.writes.lost.values()).items():
+            broken.append(f"lost {number}: {cause}")
         return broken
 
 
-async def check(folder, seed, rounds, instances, kinds=()):
-    """Run hand-overs; return (moves, broken promises, orders, acknowledged writes)."""
-    async with deployed(folder, instances, through_networks=True) as deployment:
+class Replacements(HandOvers):
+    """Loses primaries and disturbs the databases until an order takes effect."""
+
+    def __init__(self, deployment, seed, words):
+        super().__init__(deployment, seed)
+        self.kinds = [word for word in words if word in HOLDER_MOVES]
+        self.database_kinds = [word for word in words if word in DATABASE_MOVES]
+        self.losses = [word for word in words if word in LOSSES] or ["unheard"]
+
+    def replicas(self):
+        """Return the databases that are up and don't lead."""
+        databases = self.deployment.group.databases.values()
+        return [item for item in databases if item.is_up and not item.is_primary]
+
+    async def move(self, kind):
+        """Do something to a replica."""
+        replica = self.rng.choice(self.replicas())
+        paused = "paused" if replica.promised else "not paused"
+        self.moves.append(f"{kind} {replica.name}, {paused}")
+        await getattr(self, kind)(replica)
+
+    async def join(self, _):
+        """Let a database join."""
+        await self.deployment.join()
+
+    async def leave(self, replica):
+        """Let a replica leave; another one takes its place later."""
+        await self.deployment.leave(replica, self.rng.uniform(0.0, 2.0))
+        await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+        await self.deployment.join()
+
+    async def restart(self, replica):
+        """Restart a replica."""
+        down_s = self.rng.uniform(0.0, 0.4)
+        await self.deployment.restart_database(replica, down_s)
+
+    async def rename(self, replica):
+        """Let a replica come back under another name."""
+        await self.deployment.rename(replica)
+
+    async def lose(self, primary):
+        """Let the primary crash or be cut."""
+        deployment, group = self.deployment, self.deployment.group
+        loss = self.rng.choice(self.losses)
+        others = [name for name in group.databases if name != primary.name]
+        instances = sorted(deployment.processes)
+        if loss == "crash":
+            primary.crash()
+        elif loss == "unheard":
+            primary.ignores = ignores_control
+        elif loss == "cut_some":
+            number = self.rng.randint(1, len(instances) - 1)
+            deployment.cut_from(primary, set(self.rng.sample(instances, number)))
+        elif loss == "cut_all":
+            deployment.cut_from(primary, set(instances))
+        if loss == "cut_replicas":
+            others = self.rng.sample(others, self.rng.randint(1, len(others)))
+            group.cuts |= {frozenset((primary.name, name)) for name in others}
+        self.moves.append(f"{loss} {primary.name}")
+
+    async def disturb_databases(self):
+        """Move replicas in the time from shortly before an order to its effect."""
+        if not self.database_kinds:
+            return
+        if self.rng.random() < 0.75:
+            await self.wait_for_order()
+        await asyncio.sleep(self.rng.uniform(0.0, 0.4))
+        moves = []
+        for _ in range(self.rng.randint(1, 3)):
+            kind = self.rng.choice(self.database_kinds)
+            if len(self.replicas()) > 1:
+                moves.append(asyncio.create_task(self.move(kind)))
+            await asyncio.sleep(self.rng.choice([0.0, 0.2, 0.8]))
+        await asyncio.gather(*moves)
+
+    async def replace_primary(self):
+        """Lose a primary; bring it back once another one leads, or never will."""
+        group = self.deployment.group
+        primary, count = group.leader(), len(self.writes.effects)
+        end = asyncio.get_running_loop().time() + RETURNS_AFTER_S
+        await self.lose(primary)
+        tasks = [asyncio.create_task(self.disturb_databases())]
+        if self.kinds and self.rng.random() < 0.6:
+            tasks.append(asyncio.create_task(self.disturb_holder()))
+        while len(self.writes.effects) == count:
+            if asyncio.get_running_loop().time() > end:
+                self.unreplaced += 1
+                break
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(self.rng.uniform(0.0, 3.0))
+        if primary.is_up:
+            group.heal(primary)
+        else:
+            primary.is_primary = group.leader() is None
+            await self.deployment.restart_database(primary, 0.0)
+        await asyncio.gather(*tasks)
+
+    async def disturb_holder(self):
+        """Disturb the holder of the duty around an order."""
+        await self.wait_for_order()
+        name = self.deployment.duty_holder()
+        if name is not None:
+            await self.disturb(name)
+
+    async def trim(self):
+        """Let databases leave that joined, down to the initial number."""
+        extra = len(self.deployment.group.databases) - self.deployment.databases
+        for replica in self.rng.sample(self.replicas(), max(0, extra)):
+            await self.deployment.leave(replica, 0.5)
+
+    async def run(self, rounds):
+        """Lose primaries; return what broke a promise."""
+        self.deployment.group.step_down_s = 1.0
+        writers = [
+            asyncio.create_task(self.write(name)) for name in self.deployment.processes
+        ]
+        await asyncio.sleep(2)
+        for _ in range(rounds):
+            await self.replace_primary()
+            await asyncio.sleep(3)
+            await self.trim()
+            await asyncio.sleep(1)
+        for task in writers:
+            task.cancel()
+        return self.find_broken()
+
+
+class Result(NamedTuple):
+    """What a run did and found; `broken` holds a line for each broken promise."""
+
+    moves: list
+    broken: list
+    orders: int
+    written: int
+    lost: int
+    lower_tokens: int
+    longest_gap_s: float
+    unreplaced: int
+
+
+async def check(folder, seed, rounds, instances, words=(), databases=3, effect_s=None):
+    """Run hand-overs; return a Result.
+
+    Orders take effect after up to `effect_s`, if the databases are disturbed too.
+    """
+    options = {"through_networks": True, "databases": databases}
+    async with deployed(folder, instances, **options) as deployment:
         for name in deployment.keys:
             deployment.rates[name] = (4000, 4000)
         deployment.put_configuration()
-        state = HandOvers(deployment, seed)
-        state.kinds = kinds or state.kinds
+        if set(words) <= set(HOLDER_MOVES):
+            state = HandOvers(deployment, seed)
+            state.kinds = words or state.kinds
+        else:
+            state = Replacements(deployment, seed, words)
+            rng = random.Random(seed)
+            deployment.group.promote_s = lambda: rng.uniform(
+                MIN_EFFECT_S, effect_s or MAX_EFFECT_S
+            )
         broken = await state.run(rounds)
-        orders = len(deployment.platform.promotions)
+        orders = deployment.platform.promotions
         if broken:
-            state.moves.append(str(deployment.platform.promotions))
-        return state.moves, broken, orders, len(state.acknowledged)
+            state.moves += [str(orders), str(state.writes.effects)]
+        return Result(
+            state.moves,
+            broken,
+            len(orders),
+            len(state.writes.acknowledged),
+            len(state.writes.lost),
+            state.lower_tokens,
+            state.writes.longest_gap_s,
+            state.unreplaced,
+        )
 
 
 class TestOrders:
     @pytest.mark.parametrize("seed", [1, 2])
     def test_of_earlier_holders_never_come_after_later_ones(self, tmp_path, seed):
         # ONE and LOST: late orders made databases lead that lacked writes.
-        moves, broken, orders, written = run(check(tmp_path, seed, 4, 4))
-        assert broken == [], moves
-        assert orders >= 4 and written
+        result = run(check(tmp_path, seed, 4, 4))
+        assert result.broken == [], result.moves
+        assert result.orders >= 4 and result.written
 
 
 def main():
     """Run hand-overs for a number of seeds and print what broke a promise."""
     first, count, rounds, instances = map(int, sys.argv[1:5])
-    kinds = sys.argv[5:]
+    words = [word for word in sys.argv[5:] if "=" not in word]
+    options = dict(word.split("=") for word in sys.argv[5:] if "=" in word)
+    databases, effect_s = int(options.get("databases", 3)), options.get("effect")
+    effect_s = effect_s and float(effect_s)
     for seed in range(first, first + count):
         with tempfile.TemporaryDirectory() as folder:
-            moves, broken, orders, written = run(
-                check(folder, seed, rounds, instances, kinds)
+            result = run(
+                check(folder, seed, rounds, instances, words, databases, effect_s)
             )
-        print(f"seed={seed} orders={orders} writes={written} broken={len(broken)}")
-        print("\n".join([*moves, *broken]), flush=True)
+            if result.broken and "logs" in options:
+                shutil.copytree(folder, f"{options['logs']}/{seed}")
+        print(
+            f"seed={seed} orders={result.orders} writes={result.written}"
+            f" lost={result.lost} lower_tokens={result.lower_tokens}"
+            f" longest_gap={result.longest_gap_s:.2f}s unreplaced={result.unreplaced}"
+        )
+        print("\n".join([*result.moves, *result.broken]), flush=True)
 
 
 if __name__ == "__main__":
