--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -153,13 +153,17 @@
     async def leave(self, database, drain_s):
         """Let a database leave; it receives and counts until it has ended.
 
-        One that leads ends once it was replaced.
+        One that leads ends once it was replaced, or stays if it isn't.
         """
         self.put_database_entry(database, state="draining")
         await asyncio.sleep(drain_s)
-        while database.is_primary:
+        end = asyncio.get_running_loop().time() + DRAIN_MS / 1000
+        while database.is_primary and asyncio.get_running_loop().time() < end:
             await asyncio.sleep(0.05)
-        self.remove(database)
+        if database.is_primary:
+            self.put_database_entry(database)
+        else:
+            self.remove(database)
 
     async def rename(self, database):
         """Let a database come back under another name, with its log."""
--- a/test/platform/test_hand_overs.py
+++ b/test/platform/test_hand_overs.py
@@ -398,6 +398,89 @@
         assert result.orders >= 4 and result.written
 
 
+class TestOrderUnderWay:
+    """Writes stay while the databases change between an order and its effect."""
+
+    async def _replace(self, folder, disturb, effects_s=(2.0,)):
+        """Replace a primary that instances reach but the holder doesn't.
+
+        `disturb(deployment, ordered)` runs 0.2 s after the first order, which names
+        the database `ordered`. Return what was broken, and the promotions.
+        """
+        async with deployed(folder, 4, through_networks=True) as deployment:
+            group, platform = deployment.group, deployment.platform
+            delays = iter(effects_s)
+            group.promote_s = lambda: next(delays, MIN_EFFECT_S)
+            group.step_down_s = 1.0
+            state = HandOvers(deployment, 0)
+            names = list(deployment.processes)
+            tasks = [asyncio.create_task(state.write(name)) for name in names]
+            await asyncio.sleep(2)
+            primary = group.leader()
+            primary.ignores = ignores_control
+            loop = asyncio.get_running_loop()
+            end = loop.time() + REPLACED_WITHIN_S
+            while not platform.promotions:
+                assert loop.time() < end, "nothing was ordered"
+                await asyncio.sleep(0.05)
+            due = loop.time() + effects_s[0]
+            await asyncio.sleep(0.2)
+            await disturb(deployment, group.databases[platform.promotions[0][3]])
+            while loop.time() < due or not state.writes.effects:
+                assert loop.time() < end, "nothing took effect"
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(1.0)
+            group.heal(primary)
+            await asyncio.sleep(1.5)
+            for task in tasks:
+                task.cancel()
+            assert state.writes.acknowledged
+            return state.find_broken(), state.writes.effects
+
+    def _other(self, deployment, ordered):
+        replicas = deployment.group.databases.values()
+        return next(x for x in replicas if not x.is_primary and x is not ordered)
+
+    def test_another_replica_restarts_and_forgets_its_pause(self, tmp_path):
+        async def disturb(deployment, ordered):
+            await deployment.restart_database(self._other(deployment, ordered), 0.1)
+
+        broken, effects = run(self._replace(tmp_path, disturb))
+        assert broken == [], effects
+
+    def test_a_replica_joins_that_was_never_paused(self, tmp_path):
+        async def disturb(deployment, ordered):
+            await deployment.join()
+
+        broken, effects = run(self._replace(tmp_path, disturb))
+        assert broken == [], effects
+
+    def test_a_paused_replica_comes_back_under_another_name(self, tmp_path):
+        async def disturb(deployment, ordered):
+            await deployment.rename(self._other(deployment, ordered))
+
+        broken, effects = run(self._replace(tmp_path, disturb))
+        assert broken == [], effects
+
+    def test_the_ordered_database_restarts(self, tmp_path):
+        async def disturb(deployment, ordered):
+            await deployment.restart_database(ordered, 0.1)
+
+        broken, effects = run(self._replace(tmp_path, disturb))
+        assert broken == [], effects
+
+    def test_a_late_effect_after_another_holder_took_over(self, tmp_path):
+        async def disturb(deployment, ordered):
+            # The holder is gone with its order; the database receives nothing more.
+            holder = deployment.duty_holder()
+            deployment.processes[holder].send_signal(signal.SIGKILL)
+            names = deployment.group.databases.keys() - {ordered.name}
+            deployment.group.cuts = {frozenset((ordered.name, x)) for x in names}
+
+        broken, effects = run(self._replace(tmp_path, disturb, (7.5, MIN_EFFECT_S)))
+        assert broken == [], effects
+
+
 def main():
     """Run hand-overs for a number of seeds and print what broke a promise."""
     first, count, rounds, instances = map(int, sys.argv[1:5])
