--- a/test/platform/test_hand_overs.py
+++ b/test/platform/test_hand_overs.py
@@ -469,13 +469,35 @@
         broken, effects = run(self._replace(tmp_path, disturb))
         assert broken == [], effects
 
-    def test_a_late_effect_after_another_holder_took_over(self, tmp_path):
+    def _end_holder(self, deployment, ordered):
+        """End the holder with its order; the ordered database receives no more."""
+        holder = deployment.duty_holder()
+        deployment.processes[holder].send_signal(signal.SIGKILL)
+        names = deployment.group.databases.keys() - {ordered.name}
+        deployment.group.cuts = {frozenset((ordered.name, x)) for x in names}
+
+    def test_the_holder_ends_and_the_ordered_database_is_cut(self, tmp_path):
         async def disturb(deployment, ordered):
-            # The holder is gone with its order; the database receives nothing more.
-            holder = deployment.duty_holder()
-            deployment.processes[holder].send_signal(signal.SIGKILL)
-            names = deployment.group.databases.keys() - {ordered.name}
-            deployment.group.cuts = {frozenset((ordered.name, x)) for x in names}
+            self._end_holder(deployment, ordered)
+
+        broken, effects = run(self._replace(tmp_path, disturb, (7.5, MIN_EFFECT_S)))
+        assert broken == [], effects
+
+    def test_a_later_holder_resumes_replicas_before_a_late_effect(self, tmp_path):
+        async def disturb(deployment, ordered):
+            self._end_holder(deployment, ordered)
+            deployment.group.leader().ignores = lambda connection: False
+
+        broken, effects = run(self._replace(tmp_path, disturb, (7.5, MIN_EFFECT_S)))
+        assert broken == [], effects
+
+    def test_a_later_holder_orders_another_before_a_late_effect(self, tmp_path):
+        async def disturb(deployment, ordered):
+            self._end_holder(deployment, ordered)
+            primary = deployment.group.leader()
+            primary.ignores = lambda connection: False
+            ordered.ignores = ignores_control
+            deployment.put_database_entry(primary, state="draining")
 
         broken, effects = run(self._replace(tmp_path, disturb, (7.5, MIN_EFFECT_S)))
         assert broken == [], effects
