Keep a stand-in database's term after a write that was cut short

Cause: a killed process may leave an incomplete last line in the log's file. The next start stopped reading there, and appended to that line. The start after it then lost everything since the first: accepted terms and acknowledged entries. A promotion rests on both, and an old primary could have acknowledged again.

Change: the incomplete line is cut off before anything is appended. Any other line that can't be read now ends the start instead of hiding what follows.

test/test_standin.py before: "assert 1 == 2" (the term), now passes.

--- a/dragonflywing/standin/log.py
+++ b/dragonflywing/standin/log.py
@@ -1,7 +1,6 @@
 """The stand-in database's replicated log and its file."""
 
 import json
-import os
 from typing import NamedTuple
 
 from dragonflywing.decisions.positions import ZERO, Position
@@ -26,24 +25,25 @@
         self.path = path
         self.term = 0
         self.entries = []
-        self._file = None
-        if os.path.exists(path):
-            self._load()
-        self._file = open(path, "a", encoding="utf-8")
+        self._file = open(path, "a+", encoding="utf-8")
+        self._load()
 
     def _load(self):
-        with open(self.path, encoding="utf-8") as file:
-            for line in file:
-                try:
-                    record = json.loads(line)
-                except ValueError:
-                    break  # a killed process may leave an incomplete last line
-                if "accept" in record:
-                    self.term = record["accept"]
-                elif "truncate" in record:
-                    del self.entries[record["truncate"] :]
-                else:
-                    self.entries.append(LogEntry(*record["entry"]))
+        self._file.seek(0)
+        text = self._file.read()
+        # A killed process may leave an incomplete last line. What is written after it
+        # must be readable at the next start.
+        complete = text[: text.rfind("\n") + 1]
+        if complete != text:
+            self._file.truncate(len(complete.encode()))
+        for line in complete.splitlines():
+            record = json.loads(line)
+            if "accept" in record:
+                self.term = record["accept"]
+            elif "truncate" in record:
+                del self.entries[record["truncate"] :]
+            else:
+                self.entries.append(LogEntry(*record["entry"]))
 
     def _write(self, record):
         self._file.write(json.dumps(record) + "\n")
--- /dev/null
+++ b/test/test_standin.py
@@ -0,0 +1,22 @@
+"""Tests of the stand-in database for the MySQL deployment."""
+
+from dragonflywing.decisions.positions import Position
+from dragonflywing.standin.log import Log, LogEntry
+
+
+class TestLog:
+    """An accepted term and stored entries outlast any number of restarts."""
+
+    def test_a_write_cut_short_loses_nothing_written_after_the_restart(self, tmp_path):
+        path = tmp_path / "a.log"
+        log = Log(path)
+        log.accept(1)
+        log.append(LogEntry(1, 1, "press", ("INSERT",)))
+        with open(path, "a", encoding="utf-8") as file:
+            file.write('{"entry": [1, 2, "pre')
+        log = Log(path)
+        log.accept(2)
+        log.append(LogEntry(2, 2, "press", ("INSERT",)))
+        log = Log(path)
+        assert log.term == 2
+        assert log.last() == Position(2, 2)
