Restart databases in the model of a MySQL group

The term that it accepted and its log outlast the restart, so a late step or an old primary finds it in its term. The model of a group now restarts databases at any time, and a test of the stand-in guards that it keeps the term.

--- a/test/decisions/test_groups.py
+++ b/test/decisions/test_groups.py
@@ -1,4 +1,7 @@
-"""Writes, acknowledgements, fences and promotions of a group with lost messages."""
+"""Writes, acknowledgements, fences and promotions of a group.
+
+Messages are lost and late, and databases restart.
+"""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -105,6 +108,11 @@
         status = self.databases[name].status()
         self._record_acked(acks.record_status(self.acks[entry], status))
 
+    @rule(name=st.sampled_from(NAMES))
+    def restart(self, name):
+        """Restart a database: it keeps its log and its term, not its role."""
+        self.databases[name].primary = None
+
     @rule(data=st.data(), count=st.integers(1, 9))
     def replicate(self, data, count):
         pairs = [
--- a/test/test_standin.py
+++ b/test/test_standin.py
@@ -1,6 +1,7 @@
 """Tests of the stand-in database for the MySQL deployment."""
 
 from dragonflywing.decisions.positions import Position
+from dragonflywing.standin.database import DatabaseSettings, DatabaseState
 from dragonflywing.standin.log import Log, LogEntry
 
 
@@ -20,3 +21,14 @@
         log = Log(path)
         assert log.term == 2
         assert log.last() == Position(2, 2)
+
+
+class TestRestart:
+    """A database that forgot a term could let a replaced primary acknowledge again."""
+
+    def test_a_restarted_database_follows_no_primary_of_an_earlier_term(self, tmp_path):
+        cfg = DatabaseSettings("b", "", 0, 0, str(tmp_path), {}, "a")
+        DatabaseState(cfg).accept_term(2)
+        state = DatabaseState(cfg)
+        state.follow(1, "a")
+        assert (state.log.term, state.primary) == (2, None)
