End a write's wait for its acknowledgement when its group's tasks end

Cause: a configuration that changes a group ends its tasks, among them the one that expires waiting writes. A write whose statement had run, or ran afterwards on a connection of the former task, waited forever; fences had a time-out of their own.

Change: the wait has one too, and ends as may have run.

test/test_group.py before: "AssertionError: the caller waits forever" (60 s on the simulated clock, deadline 5 s), now passes.

--- a/dragonflywing/group.py
+++ b/dragonflywing/group.py
@@ -208,7 +208,11 @@
         self._positions_needed.set()
         self._has_deadlines.set()
         try:
-            message = await fut
+            # The group's tasks end if its configuration changes.
+            async with asyncio.timeout_at(expires_at):
+                message = await fut
+        except TimeoutError:
+            message = acks.Unconfirmed(waiter, "ack_timeout")
         finally:
             self._waiters.pop(waiter, None)
             self.ack_state.pending.pop(waiter, None)
