Confirm a repeated write only in the term in which its record was read

Cause: a repeated request finds its record on the primary, then asks the primary for its position and has a majority confirm that. If the database was replaced in between, received the log of another primary and was made primary again, the position is of a log without the record: a write was confirmed that is lost. If the last entry was of an earlier term, nothing was confirmed at all, and the write was taken as stored.

Change: the term of the primary is noted before its record is read, and its position counts only if it still leads in this term with an entry of it. A term has one primary, whose log only grows.

test/test_callers.py before: "Failed: DID NOT RAISE DfwError" (term 1, then 3), now passes; test/test_points.py -k "RequestIds or Verdicts or TestTransactions": 3 passed.

--- a/dragonflywing/callers.py
+++ b/dragonflywing/callers.py
@@ -44,6 +44,7 @@
         self.conn = None
         self.backend = None
         self.group = None
+        self.term = 0
         self.aborted = False
         self.last_used_at = now
         self.request_id = None
@@ -380,6 +381,7 @@
 
     async def _write_recorded(self, group, workspace, sql, request_id, deadline):
         backend = await group.wait_primary(deadline)
+        term = group.term
         try:
             conn = await backend.acquire(workspace, deadline)
         except DfwError as exc:
@@ -404,7 +406,7 @@
         if info:
             await self._acknowledge(group, backend, Result(info=info), deadline)
         else:
-            await self._acknowledge_all(group, backend, deadline)
+            await self._acknowledge_all(group, backend, term, deadline)
         return result
 
     async def _run_recorded(self, run, sql, request_id):
@@ -431,17 +433,20 @@
             raise
         return result._replace(info=b""), (await run("COMMIT")).info
 
-    async def _acknowledge_all(self, group, backend, deadline):
-        """Return once a majority stores everything that the primary has committed."""
+    async def _acknowledge_all(self, group, backend, term, deadline):
+        """Return once a majority stores everything that the primary has committed.
+
+        `term` is the one in which it was primary before something was read there. A
+        database that has been replaced meanwhile may no longer hold what was read.
+        """
         status = await backend.query_status(self.entry.cfg.times.probe_timeout_s)
-        if status is None or not status.primary:
+        if status is None or not status.primary or status.received.term != term:
             raise DfwError(
                 errors.ACK_TIMEOUT,
                 "the primary's position is unknown",
                 Verdict.MAY_HAVE_RUN,
             )
-        if status.received.term == status.term:
-            await group.ack(backend.name, status.received, deadline)
+        await group.ack(backend.name, status.received, deadline)
         self.floor = max(self.floor, status.received)
 
     # Transactions
@@ -483,7 +488,7 @@
             try:
                 # The fence prevents a start on a primary that was replaced.
                 granted = await group.fence(deadline)
-                backend = group.backends[granted.primary]
+                backend, term = group.backends[granted.primary], group.term
                 conn = await backend.acquire(workspace, deadline)
                 await backend.run_on(conn, "BEGIN", deadline)
             except DfwError as exc:
@@ -504,6 +509,7 @@
             self.transaction.conn = conn
             self.transaction.backend = backend
             self.transaction.group = group
+            self.transaction.term = term
             self.entry.transactions.add(self)
             return
 
@@ -576,7 +582,7 @@
         finally:
             backend.release(conn, not conn.in_transaction)
         if result is None:
-            await self._acknowledge_all(group, backend, deadline)
+            await self._acknowledge_all(group, backend, transaction.term, deadline)
             return Result()
         await self._acknowledge(group, backend, result, deadline)
         return Result()
--- a/test/test_callers.py
+++ b/test/test_callers.py
@@ -2,14 +2,17 @@
 
 import asyncio
 from types import SimpleNamespace
+from unittest.mock import AsyncMock, Mock
 
 import pytest
 
 from dragonflywing import errors
 from dragonflywing.callers import CallerSession
+from dragonflywing.decisions.positions import Position, Status
 from dragonflywing.decisions.retries import RetryBudget
 from dragonflywing.errors import DfwError, Verdict
 from dragonflywing.metrics import Metrics
+from dragonflywing.wire import Result
 from test.helper import run_on_simulated_clock
 
 ATTEMPT_S = 0.01
@@ -64,3 +67,46 @@
         lost = DfwError(errors.CONNECTION_LOST, "x", Verdict.MAY_HAVE_RUN)
         exc, _, _ = write(lost, DfwError(later, "x"))
         assert exc.verdict is Verdict.MAY_HAVE_RUN
+
+
+class RepeatingSession(ScriptedSession):
+    """A session that finds its request recorded, before the primary's term changes."""
+
+    _write_recorded = CallerSession._write_recorded
+
+    def __init__(self, group, later_term):
+        super().__init__([])
+        times = SimpleNamespace(probe_timeout_s=0.8)
+        self.entry.cfg = SimpleNamespace(times=times)
+        self.floor = Position(0, 0)
+        self.group, self.later_term = group, later_term
+
+    async def _run_recorded(self, run, sql, request_id):
+        self.group.term = self.later_term
+        return Result(), b""
+
+
+class TestRepeatedWrites:
+    """A record was found on a primary that then lost it, replaced twice meanwhile."""
+
+    @pytest.mark.parametrize(("later_term", "is_confirmed"), [(1, True), (3, False)])
+    def test_are_confirmed_in_the_term_of_their_record(self, later_term, is_confirmed):
+        received = Position(later_term, 9)
+        status = Status("a", True, later_term, received, received, False, 0)
+        backend = AsyncMock(query_status=AsyncMock(return_value=status))
+        backend.release = Mock()
+        group = AsyncMock(term=1)
+        group.wait_primary.return_value = backend
+        session = RepeatingSession(group, later_term)
+
+        async def check():
+            return await session._write_recorded(group, "w", "INSERT", "id", 5.0)
+
+        if is_confirmed:
+            run_on_simulated_clock(check())
+            group.ack.assert_awaited_once()
+        else:
+            with pytest.raises(DfwError) as caught:
+                run_on_simulated_clock(check())
+            assert caught.value.code is errors.ACK_TIMEOUT
+            assert caught.value.verdict is Verdict.MAY_HAVE_RUN
