Refuse to change the databases of a group

Cause: an instance confirms a write by a majority of the databases that it knows, and a promotion counts those of its own configuration. A trial with the decisions: a write confirmed by a and b of (a, b, c); with (a, d, e) the promotion accepted by d and e promotes e, with (a, b, c, d) the one accepted by c and d promotes d. Neither has the write.

Change: the names are fixed while the group exists, as the fleet size is. The check of configurations reports it as it reports the fleet size.

test/test_configuration.py before: "3 failed, 20 passed" (nothing was raised), now passes, as do test_ops.py and test_checking.py.

--- a/dragonflywing/checking.py
+++ b/dragonflywing/checking.py
@@ -312,8 +312,9 @@
     try:
         result = configuration.merge_keys(cfg, current)
     except UserError as exc:
-        _, _, message = str(exc).partition(": ")
-        require(False, "fleet_size", message.removeprefix("expected "))
+        field, _, message = str(exc).partition(": ")
+        field = field.removeprefix("field ")
+        require(False, field, message.removeprefix("expected "))
     result = configuration.next_version(result, current, "0" * 16)
     configuration.check(result, require)
     plain = typed.to_plain(result)
--- a/dragonflywing/configuration.py
+++ b/dragonflywing/configuration.py
@@ -151,6 +151,21 @@
         require(route.workspace in cfg.workspaces, f"{field}.workspace", "a workspace")
 
 
+def _check_databases(cfg, current):
+    """Raise UserError if a group of `current` has other databases in `cfg`.
+
+    Instances that count different databases can confirm a write and promote a
+    primary by majorities that have no database in common.
+    """
+    for name in cfg.groups.keys() & current.groups.keys():
+        names = sorted(current.groups[name].databases)
+        if sorted(cfg.groups[name].databases) != names:
+            raise UserError(
+                f"field groups.{name}.databases: expected {', '.join(names)}, "
+                "fixed while the group exists"
+            )
+
+
 def merge_keys(cfg, current):
     """Return `cfg` with the keys that only `current` has, and its withdrawn hashes.
 
@@ -164,6 +179,7 @@
         raise UserError(
             f"field fleet_size: expected {current.fleet_size}, fixed at the first apply"
         )
+    _check_databases(cfg, current)
     workspaces = {}
     for name, spec in cfg.workspaces.items():
         existing = current.workspaces[name].keys if name in current.workspaces else ()
--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -108,3 +108,20 @@
         with pytest.raises(UserError, match=message) as exc_info:
             self._load(tmp_path, text)
         assert "entry.json" in str(exc_info.value)
+
+
+class TestDatabasesOfAGroup:
+    """LOST: a promotion counts the databases of now, not those that stored a write."""
+
+    @pytest.mark.parametrize("names", ["abcd", "ab", "ade"])
+    def test_stay_the_same_while_the_group_exists(self, names):
+        def group_of(databases):
+            plain = valid_answers()
+            database = {"address": "10.0.0.1:3306", "data_centre": "x"}
+            plain["groups"]["orders"]["databases"] = dict.fromkeys(databases, database)
+            return generate(plain)
+
+        current = group_of("abc")
+        assert configuration.merge_keys(group_of("cba"), current)
+        with pytest.raises(UserError, match="field groups.orders.databases: expected"):
+            configuration.merge_keys(group_of(names), current)
