Let a stand-in database lead only once it has applied its log

Cause: a promotion executes what the database has received and then commits the first entry of the term. If an entry met a locked file, the first commit set the position past it: the entry was never executed, and reads of the new primary missed an acknowledged write.

Change: the database stays without a role, as one that answers a promotion late does, and the next promotion finds it there.

test/test_standin.py before: "Right contains one more item: (7,)", now passes.

--- a/dragonflywing/standin/database.py
+++ b/dragonflywing/standin/database.py
@@ -161,14 +161,19 @@
         self.notify()
 
     def promote(self, term):
-        """Become the primary of the accepted term unless it has another primary."""
+        """Become the primary of the accepted term unless it has another primary.
+
+        It stays without a role if an entry of its log can't be executed now.
+        """
         if term != self.log.term or (self.primary and not self.is_primary):
             return
         if self.is_primary:
             return
+        self.apply(len(self.log.entries))
+        if self.applied < len(self.log.entries):
+            return
         self.is_primary = True
         self.primary = self.cfg.name
-        self.apply(len(self.log.entries))
         self.commit("", ())
 
     def follow(self, term, primary):
--- a/test/test_standin.py
+++ b/test/test_standin.py
@@ -32,3 +32,22 @@
         state = DatabaseState(cfg)
         state.follow(1, "a")
         assert (state.log.term, state.primary) == (2, None)
+
+
+class TestPromotion:
+    """Reads of a new primary miss acknowledged writes that it skipped."""
+
+    def test_a_database_that_has_not_applied_its_log_does_not_lead(self, tmp_path):
+        cfg = DatabaseSettings("b", "", 0, 0, str(tmp_path), {}, "a")
+        state = DatabaseState(cfg)
+        state.log.append(LogEntry(1, 1, "press", ("CREATE TABLE t (id INT)",)))
+        state.apply(1)
+        state.log.append(LogEntry(1, 2, "press", ("INSERT INTO t VALUES (7)",)))
+        other = state.open_schema("press")
+        other.execute("BEGIN IMMEDIATE")
+        state.accept_term(2)
+        state.promote(2)
+        other.execute("ROLLBACK")
+        state.promote(2)
+        assert state.is_primary
+        assert other.execute("SELECT id FROM t").fetchall() == [(7,)]
