Add failing tests of reborn databases and void pauses

- A reborn database is trusted once it has received the latest known floor.
That floor may have been confirmed before the restart, and commits acknowledged in between are missing.
- PAUSE for a term that isn't later than the database's has no effect and is answered all the same.
If an earlier order takes effect between STATUS and PAUSE, its positions count though nothing is paused.

--- a/test/test_groups.py
+++ b/test/test_groups.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from dragonflywing.clock import boottime
+from dragonflywing.decisions.floors import Floor
 from dragonflywing.decisions.positions import Position
 from dragonflywing.deployment import Database
 from dragonflywing.groups import Groups
@@ -144,3 +146,23 @@
             assert set(asked) > {"a", "b"}
 
         run(check())
+
+
+class TestReborn:
+    """LOST: an old floor took a restarted database for one that holds all writes."""
+
+    def test_database_counts_only_by_a_floor_confirmed_after_its_restart(self):
+        async def check():
+            groups = Groups(None, Metrics())
+            groups.note_database(database("b"))
+            groups.note_floor("orders", Floor(Position(1, 10), boottime() - 0.5))
+            groups.note_database(database("b", born=2))
+            # It had acknowledged up to 20, and has received some of it again.
+            status = DatabaseStatus(False, 1, Position(1, 12), 0, 0.0, 0, 1)
+            groups.note_status("b", status)
+            assert groups.reborn == {"b"}
+            groups.note_floor("orders", Floor(Position(1, 20), boottime()))
+            groups.note_status("b", status._replace(received=Position(1, 20)))
+            assert groups.reborn == set()
+
+        run(check())
--- a/test/test_replacer.py
+++ b/test/test_replacer.py
@@ -314,6 +314,19 @@
 
         holding(check)
 
+    def test_are_not_sent_if_a_late_promotion_has_made_the_pause_void(self, holding):
+        # A PAUSE for a term that isn't later than the database's has no effect.
+        async def check(state, store, platform, databases):
+            async def command(name, text):
+                status = await databases.status_of(name)
+                return status._replace(term=2, received=Position(2, 7))
+
+            databases.command = command
+            await state._replace("g", "silent")
+            assert platform.orders == []
+
+        holding(check)
+
     async def send_order(self, state, platform, answer_s):
         """Send an order that is answered after a time; return the task."""
         platform.answer_s = answer_s
