--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -142,11 +142,13 @@
         name = f"db-{self.database_count}"
         self.database_count += 1
         database = StandinDatabase(self.group, name, slots=self.slots)
+        database.is_up = False  # until it serves
         database.born = time.time_ns() // 10**6
         database.log, database.term = list(log), term
         database.apply(len(database.log))
-        database.catch_up()
         await database.start()
+        database.is_up = True
+        database.catch_up()
         self.put_database_entry(database)
         return database
 
