--- a/test/platform/test_hand_overs.py
+++ b/test/platform/test_hand_overs.py
@@ -282,12 +282,20 @@
             group.cuts |= {frozenset((primary.name, name)) for name in others}
         self.moves.append(f"{loss} {primary.name}")
 
+    async def wait_for_pause(self):
+        """Wait until a database has been paused, or for a time."""
+        end = asyncio.get_running_loop().time() + MAX_DELAY_S
+        while not any(item.promised for item in self.replicas()):
+            if asyncio.get_running_loop().time() > end:
+                break
+            await asyncio.sleep(0.01)
+
     async def disturb_databases(self):
         """Move replicas in the time from shortly before an order to its effect."""
         if not self.database_kinds:
             return
-        if self.rng.random() < 0.75:
-            await self.wait_for_order()
+        if self.rng.random() < 0.8:
+            await self.wait_for_pause()
         await asyncio.sleep(self.rng.uniform(0.0, 0.4))
         kinds, moves = set(self.database_kinds), []
         # A database that ends before a pause usually prevents the order.
