--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -338,8 +338,8 @@
 
         def ignores(connection):
             if connection not in found:
-                port = connection.writer.get_extra_info("peername")[1]
-                found[connection] = self.instance_of(port)
+                peer = connection.writer.get_extra_info("peername")
+                found[connection] = self.instance_of(peer[1]) if peer else None
             return found[connection] in names
 
         database.ignores = ignores
--- a/test/platform/test_hand_overs.py
+++ b/test/platform/test_hand_overs.py
@@ -1,9 +1,9 @@
 """Hand-overs of the promotion duty while orders are under way, with processes.
 
 Long runs: python -m test.platform.test_hand_overs FIRST_SEED COUNT ROUNDS INSTANCES
-[MOVE ...] [databases=N] [effect=S] [logs=FOLDER]. The holder's moves are cut, cut_duty, freeze and
-end. With moves of the databases (join, leave, restart, rename), or losses of the
-primary (crash, unheard, cut_some, cut_all, cut_replicas), these happen from shortly
+[MOVE ...] [databases=N] [effect=S] [logs=FOLDER]. The holder's moves are cut, cut_duty,
+freeze and end. With moves of the databases (join, leave, restart, rename), or losses of
+the primary (crash, unheard, cut_some, cut_all, cut_replicas), these happen from shortly
 before an order to its effect, which comes up to S seconds (5) after it.
 """
 
