Trust a restarted database only by a floor from after its restart

Callers could lose an acknowledged write at a promotion: a database that was born again counted as caught up by a floor that had been confirmed before its restart. What it had acknowledged since that floor, and not received again, was then missing from the log that counted for the choice.

A replica now needs a floor that was asked for after the restart was noted. A primary needs none: it has received nothing again, and one that was promoted since is the one that the others follow; without this the group would stay without a floor.

--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -87,6 +87,8 @@
         # Groups whose roster may lack databases, as the store came back from a copy.
         self.outdated_rosters = set()
         self.reborn = set()
+        # When each was noted, by the clock of ages, and the term that was known then.
+        self._reborn_at = {}
         self.groups = {}  # {name: GroupState}
         self.homes = {}  # {database: Home}
         self.specs = {}  # {name: deployment.Group}
@@ -303,6 +305,8 @@
     def _mark_reborn(self, database):
         # A database that is started again under its name has lost its data.
         self.reborn.add(database.name)
+        term = self.state(database.group).term
+        self._reborn_at[database.name] = boottime(), term
         logs.event(
             "database_reborn",
             database=database.name,
@@ -376,8 +380,9 @@
         database = self.databases.get(name)
         if status is None or database is None:
             return
-        if name in self.reborn and self._has_caught_up(database.group, status):
+        if name in self.reborn and self._has_caught_up(database, status):
             self.reborn.discard(name)
+            del self._reborn_at[name]
             logs.event(
                 "database_caught_up",
                 database=name,
@@ -387,9 +392,20 @@
         if status.is_primary and name not in self.reborn:
             self.note_primary(database.group, name, status.term)
 
-    def _has_caught_up(self, group, status):
-        floor = self.state(group).floor
-        return floor is not None and status.received >= floor.position
+    def _has_caught_up(self, database, status):
+        """Return whether a reborn database has all that it may have acknowledged.
+
+        A replica may have acknowledged more than what an earlier floor tells, and have
+        received only a part of it again. A primary has received nothing again, and one
+        that was promoted since is the one that the others follow.
+        """
+        reborn_at, term = self._reborn_at[database.name]
+        if status.is_primary and status.term > term:
+            return True
+        floor = self.state(database.group).floor
+        if floor is None or status.received < floor.position:
+            return False
+        return status.is_primary or floor.asked_at > reborn_at
 
     def note_primary(self, group, name, term):
         """Set a group's primary for a term, unless a later term is known."""
--- a/test/test_groups.py
+++ b/test/test_groups.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from dragonflywing.clock import boottime
 from dragonflywing.decisions.floors import Floor
 from dragonflywing.decisions.positions import Position
@@ -166,3 +168,24 @@
             assert groups.reborn == set()
 
         run(check())
+
+    @pytest.mark.parametrize(
+        ("term", "received", "reborn"),
+        [(2, 3, set()), (1, 10, set()), (1, 3, {"b"})],
+    )
+    def test_primary_counts_if_it_was_promoted_or_kept_its_log(
+        self, term, received, reborn
+    ):
+        # Otherwise no floor is confirmed any more, and the group has no primary.
+        async def check():
+            groups = Groups(None, Metrics())
+            groups.note_database(database("b"))
+            groups.note_primary("orders", "b", 1)
+            groups.note_floor("orders", Floor(Position(1, 10), boottime() - 0.5))
+            groups.note_database(database("b", born=2))
+            position = Position(1, received)
+            status = DatabaseStatus(True, term, position, 0, 0.0, 0, 1)
+            groups.note_status("b", status)
+            assert groups.reborn == reborn
+
+        run(check())
