--- a/dragonflywing/control.py
+++ b/dragonflywing/control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from dragonflywing.clock import boottime
 from dragonflywing.ports import ConnectionFailed, ConnectionRefused
 
 STATUS_TIMEOUT_S = 0.4  # may wait for a slot behind two long statements
@@ -17,6 +18,7 @@
         self.metrics = metrics
         self.pacer = pacer
         self._conn = None
+        self._connected_at = 0.0
         self._lock = asyncio.Lock()
 
     async def command(self, text):
@@ -28,10 +30,12 @@
                         self._conn = await self.adapter.connect(
                             self.database, CONTROL_WORKSPACE
                         )
+                        self._connected_at = boottime()
                     started_at = asyncio.get_running_loop().time()
                     answer = await self._conn.run("-", text)
                     self.pacer.note_round_trip(started_at)
                     status = self.adapter.decode_status(answer)
+                    connected_s = boottime() - self._connected_at
             except (ConnectionFailed, ConnectionRefused, TimeoutError) as exc:
                 self.metrics.count(f"database.control.{type(exc).__name__}")
                 return None
@@ -39,7 +43,7 @@
                 # A statement that was cancelled or failed has dropped it.
                 if self._conn is not None and self._conn.is_broken():
                     self.close()
-        return status
+        return status and status._replace(connected_s=connected_s)
 
     def close(self):
         """Close the connection."""
--- a/dragonflywing/decisions/fences.py
+++ b/dragonflywing/decisions/fences.py
@@ -21,12 +21,13 @@
 
 
 class Granted(NamedTuple):
-    """The floor of a waiter, the primary it is from, and when the round started."""
+    """The floor of a waiter, its primary and term, and when the round started."""
 
     waiter: int
     position: tuple
     primary: str
     asked_at: float
+    term: int
 
 
 class Refused(NamedTuple):
@@ -90,7 +91,7 @@
     if primary is None:
         return _refuse_round(state, now, timeout_s) if not state.unanswered else []
     granted = [
-        Granted(waiter, primary.applied, primary.database, state.asked_at)
+        Granted(waiter, primary.applied, primary.database, state.asked_at, primary.term)
         for waiter in state.active_waiters
     ]
     state.active_waiters = []
--- a/dragonflywing/decisions/replacement.py
+++ b/dragonflywing/decisions/replacement.py
@@ -16,6 +16,8 @@
 
 from typing import NamedTuple
 
+from dragonflywing.decisions.positions import ZERO
+
 # A primary is replaced after it has not been reached for this long.
 SILENT_S = 0.7
 # A primary is replaced after its writes have reached no replica for this long.
@@ -25,7 +27,9 @@
 class PausedDatabase(NamedTuple):
     """A database that is paused for the new term, with its last position.
 
-    `is_in_regions` says whether all routes of its group allow its region.
+    `is_in_regions` says whether all routes of its group allow its region. A database
+    that is no voter doesn't count for the quorum, as it has just joined; it may hold
+    acknowledged writes all the same.
     """
 
     database: str
@@ -34,6 +38,8 @@
     in_own_data_centre: bool
     is_evacuated: bool = False
     is_in_regions: bool = True
+    is_voter: bool = True
+    term: int = 0
 
 
 class Evacuation(NamedTuple):
@@ -121,13 +127,20 @@
     return Evacuation(frozenset(replicas - outside), True)
 
 
-def choose(paused, quorum):
-    """Return the database to promote, or None if none may be promoted."""
-    logs = [item.received for item in paused]
+def choose(paused, quorum, only=None):
+    """Return the database to promote, or None if none may be promoted.
+
+    `only` names the one that an earlier order may still promote, if there is one.
+    """
+    logs = [item.received for item in paused if item.is_voter]
+    joined = max((x.received for x in paused if not x.is_voter), default=ZERO)
     eligible = [
         item
         for item in paused
-        if not item.is_evacuated and holds_acknowledged(item.received, logs, quorum)
+        if only in (None, item.database)
+        and not item.is_evacuated
+        and item.received >= joined
+        and holds_acknowledged(item.received, logs, quorum)
     ]
     if not eligible:
         return None
--- a/dragonflywing/following.py
+++ b/dragonflywing/following.py
@@ -148,6 +148,10 @@
                 self.metrics.count("store.follow_failed")
                 await asyncio.sleep(retry_pause_s(failures))
 
+    async def read_now(self):
+        """Apply all keys as they are in the store now; raise StoreError if it fails."""
+        await self._read_list(may_be_old=False)
+
     async def _read_list(self, may_be_old):
         asked_at = boottime()
         items, revision = await self.store.get_prefix(self.prefix, may_be_old)
--- a/dragonflywing/link.thrift
+++ b/dragonflywing/link.thrift
@@ -63,6 +63,37 @@
   // Of the copy of the evacuations' keys, if the asker follows them.
   14: optional i64 evacuation_revision,
   15: optional i64 evacuation_era,
+  // Of the permits that the asker knows; earlier builds send none.
+  16: optional i64 permit_token,
+  17: optional i64 permit_number,
+}
+
+// A group's primary for which instances may tell callers of commits.
+struct PermittedPrimary {
+  1: string database,
+  2: i64 term,
+  3: i64 base_term,                 // its log holds the commits of this earlier term
+  4: i64 base_index,                // up to this one
+}
+
+// The permitted primaries as of a version. The primaries are left out if the asker
+// knows this version.
+struct Permits {
+  1: i64 token,
+  2: i64 number,
+  3: optional map<string, PermittedPrimary> leaders,
+  // Only in answers:
+  4: optional double age,           // since they were given
+  5: optional double valid,         // for how long they were given
+  6: optional bool direct,          // whether by the holder of the duty itself
+}
+
+// The answer to a call that revises permits: the instances that rely on the earlier
+// ones no longer, and for how many seconds others may still do so, to which the
+// answering one has passed them on.
+struct Revised {
+  1: list<string> confirmed,
+  2: map<string, double> passed_on,
 }
 
 // A key of the store as of its last change.
@@ -109,6 +140,7 @@
   11: bool listed,                  // whether the asker is; earlier builds send none
   12: optional KeyChanges evacuations,
   13: optional double evacuation_age,   // of the list of evacuations that is known
+  14: optional Permits permits,
 }
 
 // A configuration as the operator wrote it.
--- a/dragonflywing/platform/store.py
+++ b/dragonflywing/platform/store.py
@@ -203,10 +203,11 @@
             items = [_item(event, era) for event in body["events"]]
             return items, Revision(era, body["current_rev"])
 
-    async def swap(self, key, value, revision, lease=None):
+    async def swap(self, key, value, revision, lease=None, guard=None):
         """Write a key if its revision is `revision`; None writes it in any case.
 
-        Return the new revision, or None if the revision differs or the lease ended.
+        `guard` is another key and the revision that it must have. Return the new
+        revision, or None if a revision differs or the lease ended.
         """
         is_conditional = revision not in (None, ABSENT)
         if is_conditional and revision.era < self.era:
@@ -218,6 +219,11 @@
         expect = []
         if revision is not None:
             expect = [{"key": key, "revision": revision.number}]
+        if guard is not None:
+            guard_key, guard_revision = guard
+            if guard_revision.era < self.era:
+                return None
+            expect.append({"key": guard_key, "revision": guard_revision.number})
         body = {"expect": expect, "puts": [put], "deletes": []}
         status, answer, era, _ = await self._call("POST", "/-/kv-txn", body)
         if status not in (200, 412, 404):
--- a/dragonflywing/ports.py
+++ b/dragonflywing/ports.py
@@ -33,7 +33,8 @@
     """The status that a database reports.
 
     `received` is the end of its log, `busy` the number of running statements;
-    `promised_term` is the term that it is paused for, or 0.
+    `promised_term` is the term that it is paused for, or 0. The connection on which it
+    was reported had been open for `connected_s`.
     """
 
     is_primary: bool
@@ -43,6 +44,7 @@
     lag_s: float
     busy: int
     connections: int
+    connected_s: float = 0.0
 
 
 class ConnectionFailed(Exception):
