Let a restarted replica count once it has what its primary had then

Since restarted replicas need a floor from after their restart, a group could stay without a floor, and so without writes and current reads, for good: the quorum that confirms the floor needed the restarted replica.

A replica now also counts once it has received what the primary of the latest term has reported since the restart; it can have acknowledged nothing else.

--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -33,6 +33,7 @@
 # A round queries the remaining databases if the first ones have not answered after
 # this time: a round trip between regions and a wait for a slot.
 FENCE_SECOND_QUERY_DELAY_S = 0.08
+STATUS_AGE_S = 1.5  # how old a status may be when it is noted
 MAX_LEFT = 1000  # databases that left and are remembered
 UNRESPONSIVE_S = 3.0  # a database that did not answer is queried last for this time
 # Subtracted from an accepted age, for the time between the check and the read.
@@ -89,6 +90,7 @@
         self.reborn = set()
         # When each was noted, by the clock of ages, and the term that was known then.
         self._reborn_at = {}
+        self._primary_seen = {}  # {group: (term, received, when)} of its latest status
         self.groups = {}  # {name: GroupState}
         self.homes = {}  # {database: Home}
         self.specs = {}  # {name: deployment.Group}
@@ -391,21 +393,28 @@
             )
         if status.is_primary and name not in self.reborn:
             self.note_primary(database.group, name, status.term)
+            seen = status.term, status.received, boottime()
+            self._primary_seen[database.group] = seen
 
     def _has_caught_up(self, database, status):
         """Return whether a reborn database has all that it may have acknowledged.
 
         A replica may have acknowledged more than what an earlier floor tells, and have
-        received only a part of it again. A primary has received nothing again, and one
-        that was promoted since is the one that the others follow.
+        received only a part of it again; what its primary had after the restart is
+        enough. A primary has received nothing again, and one that was promoted since is
+        the one that the others follow.
         """
         reborn_at, term = self._reborn_at[database.name]
         if status.is_primary and status.term > term:
             return True
-        floor = self.state(database.group).floor
-        if floor is None or status.received < floor.position:
+        state = self.state(database.group)
+        if state.floor is None or status.received < state.floor.position:
             return False
-        return status.is_primary or floor.asked_at > reborn_at
+        if status.is_primary or state.floor.asked_at > reborn_at:
+            return True
+        term, received, at = self._primary_seen.get(database.group, (0, None, 0.0))
+        is_later = at > reborn_at + STATUS_AGE_S
+        return term and term >= state.term and is_later and status.received >= received
 
     def note_primary(self, group, name, term):
         """Set a group's primary for a term, unless a later term is known."""
--- a/test/test_groups.py
+++ b/test/test_groups.py
@@ -8,7 +8,7 @@
 from dragonflywing.decisions.floors import Floor
 from dragonflywing.decisions.positions import Position
 from dragonflywing.deployment import Database
-from dragonflywing.groups import Groups
+from dragonflywing.groups import STATUS_AGE_S, Groups
 from dragonflywing.metrics import Metrics
 from dragonflywing.ports import DatabaseStatus
 from test.helper import run
@@ -189,3 +189,25 @@
             assert groups.reborn == reborn
 
         run(check())
+
+    def test_replica_counts_once_it_has_what_its_primary_had_after_the_restart(self):
+        # The quorum that confirms a floor may need the restarted database.
+        async def check():
+            groups = Groups(None, Metrics())
+            for name in ("a", "b"):
+                groups.note_database(database(name))
+            primary = DatabaseStatus(True, 1, Position(1, 20), 0, 0.0, 0, 1)
+            replica = primary._replace(is_primary=False)
+            groups.note_status("a", primary)
+            groups.note_floor("orders", Floor(Position(1, 10), boottime() - 5.0))
+            groups.note_database(database("b", born=2))
+            groups.note_status("b", replica)
+            assert groups.reborn == {"b"}
+            groups._reborn_at["b"] = boottime() - STATUS_AGE_S, 1
+            groups.note_status("a", primary)
+            groups.note_status("b", replica._replace(received=Position(1, 19)))
+            assert groups.reborn == {"b"}
+            groups.note_status("b", replica)
+            assert groups.reborn == set()
+
+        run(check())
