Tell callers of commits only under a permit, and record orders of promotions

Cause: a decision rested on a state that had been observed once and could end by itself before the decision took effect. A paused replica restarts before the order's effect, or a new one joins, and the old primary acknowledges again; a later holder of the duty knows nothing of an order that takes effect seconds later, and promotes another database or resumes the replicas.

Change (docs/design/permits.md): the holder of the duty permits a primary; instances pass an acknowledgement on only under a permit, which the holder revokes, or lets lapse, before it pauses any database. Without a permit the databases confirm the commit, over connections that were open before. An order is recorded in the store before it is sent; until it has taken effect or is 8 s old no other database of the group is promoted. The log of a database that has just joined counts for the choice. A PAUSE counts only if it can have had an effect. After a promotion the roster keeps its names until enough databases have received what the new primary holds. Why this works: from the revocation to the next permit nothing that databases acknowledge reaches a caller, so nothing that happens to them meanwhile matters.

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -51,13 +51,17 @@
 
 
 class Peer(NamedTuple):
-    """Another instance, as registered in the store."""
+    """Another instance, as registered in the store.
+
+    `has_permits` is false for an earlier build, which neither gives nor needs permits.
+    """
 
     instance: str
     data_centre: str
     host: str
     port: int
     incarnation: int
+    has_permits: bool = False
 
 
 class Liveness:
@@ -122,6 +126,7 @@
             "host": self.settings.host,
             "port": self.settings.peer_port,
             "incarnation": self.incarnation,
+            "has_permits": True,
         }
         key = MEMBER_PREFIX + self.settings.instance
         lease_s = max(MEMBER_LEASE_S, self.settings.lease_min_s)
@@ -214,6 +219,7 @@
                 entry["host"],
                 entry["port"],
                 entry["incarnation"],
+                bool(entry.get("has_permits")),
             )
         except (ValueError, KeyError, TypeError):
             self.metrics.count("refused.bad_member")
--- a/dragonflywing/exchange.py
+++ b/dragonflywing/exchange.py
@@ -4,11 +4,13 @@
 relays forward summaries of their data centres.
 """
 
+import math
 import zlib
 
 from dragonflywing import logs
+from dragonflywing.acknowledgements import pack_permits, unpack_permits
 from dragonflywing.clock import boottime
-from dragonflywing.decisions import division, floors, replicas
+from dragonflywing.decisions import division, floors, permits, replicas
 from dragonflywing.decisions.eras import ABSENT, Revision
 from dragonflywing.decisions.positions import Position
 from dragonflywing.decisions.relays import Role
@@ -68,6 +70,7 @@
 
     def __init__(self, settings, groups, cluster, directory, division_state):
         self.settings = settings
+        self.granting = None  # the Granting of this instance
         self.groups = groups
         self.cluster = cluster
         self.directory = directory
@@ -115,6 +118,7 @@
         fleet = self.cluster.keys.replica.revision
         follower = self.directory.evacuations
         evacuations = follower.replica.revision if follower else None
+        known_permits = self.groups.permits.version
         return idl.Exchange(
             instance=self.settings.instance,
             leaving=self.cluster.leaving,
@@ -131,6 +135,8 @@
             fleet_era=fleet.era,
             evacuation_revision=evacuations.number if evacuations else None,
             evacuation_era=evacuations.era if evacuations else None,
+            permit_token=known_permits.token,
+            permit_number=known_permits.number,
         )
 
     def _divides_rates(self, partner):
@@ -168,12 +174,47 @@
                     message.evacuation_revision,
                 ),
                 evacuation_age=self.directory.evacuations_age(),
+                permits=self._permits_for(message),
             )
         )
         if message.compress:
             answer = zlib.compress(answer, COMPRESSION_LEVEL)
         return answer
 
+    def _permits_for(self, question):
+        """Return the permits for an instance, None if this one has none to give.
+
+        Those of the holder of the duty that have not lapsed are only passed on once, in
+        a data centre of a large fleet. The holder then knows whose permits it has to
+        await. Lapsed ones tell when no replacement was under way.
+        """
+        peer = self.cluster.peers.get(question.instance)
+        if question.permit_token is None or peer is None or self.granting is None:
+            return None
+        is_small = self.cluster.is_small()
+        given = self.granting.give(
+            peer.instance, None if is_small else peer.data_centre
+        )
+        if given is not None:
+            version, leaders, valid_s = given
+            age_s, is_direct = 0.0, True
+        else:
+            state, is_direct = self.groups.permits, False
+            version, leaders, valid_s = state.version, state.leaders, state.valid_s
+            age_s = boottime() - state.granted_at
+            if version == permits.NO_VERSION or math.isinf(age_s):
+                return None
+            if age_s < valid_s:
+                is_near = peer.data_centre == self.settings.data_centre
+                is_for_others = state.is_direct and valid_s == permits.RELAYED_PERMIT_S
+                if not is_near or not is_for_others:
+                    return None
+                self.granting.note_passed_on(peer.instance, state.granted_at + valid_s)
+        known = permits.Version(question.permit_token, question.permit_number)
+        if known == version:
+            leaders = None
+        return pack_permits(version, leaders, age_s, valid_s, is_direct)
+
     def _views_for(self, question, digest):
         """Return the views of groups that the asker lacks.
 
@@ -240,6 +281,16 @@
                 position = Position(view.floor_term, view.floor_index)
                 floor = floors.Floor(position, asked_at - view.floor_age)
                 self.groups.note_floor(view.group, floor)
+        if message.permits is not None:
+            version, leaders = unpack_permits(message.permits)
+            granted_at = asked_at - message.permits.age
+            self.groups.note_permits(
+                version,
+                leaders,
+                granted_at,
+                message.permits.valid,
+                bool(message.permits.direct),
+            )
         if message.summary is not None:
             self._apply_summary(instance, question, message.summary)
         confirmed = ABSENT
--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -15,7 +15,7 @@
 
 from dragonflywing import logs
 from dragonflywing.clock import boottime
-from dragonflywing.decisions import contention, evacuation, fences, floors
+from dragonflywing.decisions import contention, evacuation, fences, floors, permits
 from dragonflywing.decisions.positions import (
     Status,
     intersecting_quorum,
@@ -92,6 +92,8 @@
         self._reborn_at = {}
         self._primary_seen = {}  # {group: (term, received, when)} of its latest status
         self.groups = {}  # {name: GroupState}
+        self.permits = permits.PermitState()
+        self.permits_changed = asyncio.Event()  # replaced once it is set
         self.homes = {}  # {database: Home}
         self.specs = {}  # {name: deployment.Group}
         self.workspace_count = 0  # of the configuration in force
@@ -445,6 +447,32 @@
             return floor.position
         return None
 
+    # Permits of acknowledgements
+
+    def note_permits(self, version, leaders, granted_at, valid_s, is_direct=True):
+        """Apply permits that were given to this instance at `granted_at`."""
+        state = self.permits
+        known, was_valid = state.version, permits.is_valid(state, boottime())
+        permits.apply(state, version, leaders, granted_at, valid_s, is_direct)
+        if state.version != known or not was_valid:
+            self._note_permits_changed()
+
+    def revise_permits(self, version, leaders):
+        """Apply a later version of the permitted primaries, which extends no permit.
+
+        Return whether it was not known.
+        """
+        is_new = permits.revise(self.permits, version, leaders)
+        if is_new:
+            self._note_permits_changed()
+        return is_new
+
+    def _note_permits_changed(self):
+        for group, leader in self.permits.leaders.items():
+            self.note_primary(group, leader.database, leader.term)
+        self.permits_changed.set()
+        self.permits_changed = asyncio.Event()
+
     # Fences
 
     async def fence(self, group):
@@ -486,7 +514,10 @@
                 spawn(self._tasks, self._query(state, message))
                 continue
             fut = self._waiters.get(message.waiter)
-            is_granted = isinstance(message, fences.Granted)
+            # Databases that were restarted may confirm a primary that was replaced.
+            is_granted = (
+                isinstance(message, fences.Granted) and message.term >= state.term
+            )
             if is_granted:
                 floor = floors.Floor(message.position, message.asked_at)
                 self.note_floor(state.name, floor)
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -9,6 +9,7 @@
 import signal
 
 from dragonflywing import gauges, logs, supervisor
+from dragonflywing.acknowledgements import Acknowledgements
 from dragonflywing.clock import boottime
 from dragonflywing.cluster import (
     ERA_KEY,
@@ -20,6 +21,7 @@
 )
 from dragonflywing.connection_pool import max_connections_for
 from dragonflywing.decisions import division, floors, regions, stopping
+from dragonflywing.decisions.relays import Role
 from dragonflywing.directory import Directory
 from dragonflywing.errors import StoreError, UserError
 from dragonflywing.exchange import Exchange
@@ -88,6 +90,7 @@
         self.directory.followers.append(self.cluster.keys)
         self.router = Router(*shared_args)
         self.groups.status_of = self.router.status_of
+        self.acknowledgements = Acknowledgements(self.groups, metrics)
         self.division = division.DivisionState()
         self.pacing = Pacing(
             settings, self.groups, self.cluster, self.division, self.router.paces.get
@@ -110,6 +113,9 @@
         if self.directory.evacuations is not None:
             self.directory.evacuations.is_served = self._is_served_evacuations
         self.replacer = Replacer(self)
+        self.exchange.granting = self.replacer.granting
+        self.acknowledgements.renew_own = self.replacer.granting.renew_own
+        self.acknowledgements.needs_permit = self._needs_permit
         self.links = LinkServer(self._handle_call, self._link_closed, metrics)
         metrics.gauges += gauges.node_gauges(self)
         self.draining = asyncio.Event()
@@ -172,17 +178,25 @@
             max_wait, _, workspace = body.decode().partition(" ")
             wait_s = await self._admit_locally(workspace, float(max_wait))
             return f"{wait_s:.3f}".encode()
-        if name == "command":
+        if name in ("command", "timed_command"):
             database, _, text = body.decode().partition(" ")
-            return pack_status(await self.router.command_locally(database, text))
+            status = await self.router.command_locally(database, text)
+            return pack_status(status, is_timed=name == "timed_command")
         if name == "end":
             database, _, handle = body.decode().partition(" ")
             self.router.end_transaction_locally(database, handle)
             return b""
+        if name == "permits":
+            return await self.replacer.granting.revise(body)
         if name == "configuration":
             return self.directory.document()
         raise ValueError(f"unknown call {name!r}")
 
+    def _needs_permit(self):
+        """Return whether the instance that holds the duty gives permits."""
+        holder = self.cluster.peers.get(self.replacer.holder())
+        return holder is None or holder.has_permits
+
     def _link_closed(self, origin):
         for home in self.groups.homes.values():
             home.roll_back_all(origin)
@@ -349,12 +363,15 @@
         return self.settings.instance in self._homes_in(group)
 
     def _floor_partners(self):
-        """Return the instances whose floors this one uses.
+        """Return the instances whose floors or permits this one uses.
 
         The home of a primary confirms the floors that the replicas' homes need, and
-        that show the holder of the duty that the primary answers.
+        that show the holder of the duty that the primary answers. Relays pass on the
+        permits of the holder.
         """
         own_instance, partners = self.settings.instance, set()
+        if self.cluster.role() is Role.RELAY and self.replacer.holder():
+            partners.add(self.replacer.holder())
         holds_duty = self.replacer.holds_duty()
         for group, state in self.groups.groups.items():
             homes = self._homes_in(group)
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -12,12 +12,21 @@
 
 from dragonflywing import logs
 from dragonflywing.clock import boottime
-from dragonflywing.decisions import eras, regions, replacement, rosters
+from dragonflywing.decisions import (
+    eras,
+    orders,
+    permits,
+    regions,
+    replacement,
+    rosters,
+)
 from dragonflywing.decisions.eras import ABSENT
-from dragonflywing.decisions.positions import confirmed_primary
+from dragonflywing.decisions.positions import ZERO, confirmed_primary
 from dragonflywing.decisions.relays import Role
 from dragonflywing.errors import StoreError
+from dragonflywing.granting import Granting
 from dragonflywing.groups import as_vote
+from dragonflywing.order_records import OrderRecords
 from dragonflywing.supervisor import spawn
 
 DUTY_KEY = "dfw/duty/promotion"
@@ -25,6 +34,10 @@
 # Another instance takes over from a dead holder after this time.
 DUTY_LEASE_S = eras.LEASE_S
 RENEW_S = 0.8
+START_POLL_S = 0.05  # until the databases and evacuations are known
+# How long an instance that has just started waits for the entries of others that start
+# with it, before it knows its role and rank. Without them each would acquire the duty.
+START_SETTLE_S = 0.3
 # The holder stops ordering promotions this long before its lease can end.
 LEASE_MARGIN_S = 0.5
 CHECK_INTERVAL_S = 0.2  # for each group
@@ -36,6 +49,8 @@
 # The same while the roster differs from the listed databases.
 ROSTER_STATUS_INTERVAL_S = 0.4
 PROMOTE_TIMEOUT_S = 2.5  # an answer usually takes milliseconds
+# An order is sent within this time of the first pause; then databases are paused anew.
+PAUSED_FOR_S = 3.5
 # Statuses with which the platform refuses an order.
 REFUSED_STATUSES = frozenset({400, 403, 404, 409, 429, 503})
 PROMOTION_EFFECT_TIMEOUT_S = 2.5  # usually some hundred ms after the order
@@ -46,7 +61,8 @@
 CATCH_UP_S = 0.3
 CATCH_UP_POLL_S = 0.02
 EVACUATION_RETRY_S = 0.5
-ACQUIRE_DELAY_S = 0.3  # for each rank, so that instances try one after the other
+LIST_TIMEOUT_S = 0.3  # of reading the databases' entries during a replacement
+ACQUIRE_DELAY_S = 0.1  # for each rank, so that instances try one after the other
 MAX_RANKS_DELAYED = 5
 # Delay of the instances of a large fleet that are no relays.
 MEMBER_ACQUIRE_DELAY_S = 4.0
@@ -60,6 +76,11 @@
     UNKNOWN = "unknown"
 
 
+def _terms(statuses):
+    """Return the terms of databases' statuses, {name: DatabaseStatus}."""
+    return [status.term for status in statuses.values()]
+
+
 def _position(position):
     return f"{position.term}/{position.index}"
 
@@ -71,6 +92,17 @@
     return f"{text}:promised:{status.promised_term}" if status.promised_term else text
 
 
+def _is_paused(before, status, term):
+    """Return whether a database's status after PAUSE or STEPDOWN tells that it obeys.
+
+    A PAUSE for a term that isn't later than the database's has no effect, as once an
+    earlier order has taken effect.
+    """
+    if status is None or status.is_primary or status.received < before.received:
+        return False  # or it was born again, without its log
+    return before.is_primary or status.term < term
+
+
 def _status_fields(status):
     """Return the fields of a log line about a database's status, none for None."""
     if status is None:
@@ -99,8 +131,17 @@
         self._health = {}
         self._running = {}
         self._orders = set()  # tasks of the orders that are under way
-        # The terms that groups had when an order was sent that may still take effect.
-        self._ordered_in = {}
+        self.order_records = OrderRecords(
+            self.store,
+            self.groups,
+            self.metrics,
+            lambda: (DUTY_KEY, self.claimed),
+        )
+        self.granting = Granting(
+            node.settings, self.groups, self.cluster, self.holds_duty
+        )
+        # Whether the roster's replicas receive what the primary of a group writes.
+        self._receiving = {}
         self._duty_item = None
         self._held_since = 0.0
         # Until when the evacuation of a group's primary is not tried again.
@@ -151,12 +192,18 @@
 
     async def run(self):
         """Acquire and renew the duty until cancelled."""
+        is_new = True
         while True:
             pause = RENEW_S
             try:
                 if self.lease and self.token:
                     await self._renew()
-                if not self.token:
+                if not self._has_lists():
+                    pause = START_POLL_S
+                elif not self.token:
+                    if is_new and self._duty_item is None:
+                        await asyncio.sleep(START_SETTLE_S)
+                    is_new = False
                     await self._acquire()
                 if self.token:
                     await self.cluster.mark_era()
@@ -175,6 +222,7 @@
 
     def _lose_duty(self, reason):
         logs.event("duty_lost", token=self.token, reason=reason)
+        self.granting.end()
         if self.claimed.era == self.cluster.eras.era:
             self.valid_until = 0.0
         self.token = 0
@@ -186,16 +234,18 @@
     def _holder_id(self):
         return f"{self.node.settings.instance}/{self.cluster.incarnation}".encode()
 
+    def _has_lists(self):
+        directory = self.node.directory
+        return directory.has_database_list and directory.has_evacuation_list
+
     async def _acquire(self):
         """Acquire the duty if it is free, after the instances of a lower rank."""
-        directory = self.node.directory
-        if not directory.has_database_list or not directory.has_evacuation_list:
-            return
         if self.cluster.leaving:
             return
         if self._is_held() or not self._may_claim():
             return
-        await asyncio.sleep(self._acquire_delay_s())
+        if self._duty_item is None:  # otherwise no other instance may acquire it
+            await asyncio.sleep(self._acquire_delay_s())
         item = self._duty_item
         if self._is_held():
             return
@@ -219,13 +269,18 @@
             self.apply_duty(current)
             return
         # The copy of the rosters may lag behind too; promotions depend on them.
-        rosters_now, _ = await self.store.get_prefix(ROSTER_PREFIX)
+        (rosters_now, _), orders_now = await asyncio.gather(
+            self.store.get_prefix(ROSTER_PREFIX), self.order_records.read()
+        )
         for roster in rosters_now:
             self.apply_roster(roster)
+        self.order_records.apply(orders_now)
         self.claimed, self.token = claimed, eras.fencing_token(claimed)
         self.valid_until = asked_at + DUTY_LEASE_S
         self._held_since = boottime()
+        self.granting.begin(self.token)
         self._health.clear()
+        self._receiving.clear()
         logs.event("duty_taken", token=self.token)
 
     def _may_claim(self):
@@ -240,7 +295,12 @@
     def _is_held(self):
         """Return whether another instance holds the duty."""
         item = self._duty_item
-        return item is not None and not self._is_from_earlier_process(item)
+        return item is not None and not self._is_from_earlier_process()
+
+    def holder(self):
+        """Return the name of the instance that holds the duty, None if none does."""
+        item = self._duty_item
+        return item.value.decode().split("/")[0] if item is not None else None
 
     def _acquire_delay_s(self):
         """Return how long to leave the duty to the instances of a lower rank.
@@ -253,9 +313,9 @@
             return min(rank, MAX_RANKS_DELAYED) * ACQUIRE_DELAY_S
         return MEMBER_ACQUIRE_DELAY_S * random.uniform(1.0, 2.0)
 
-    def _is_from_earlier_process(self, item):
+    def _is_from_earlier_process(self):
         # The holder was an earlier process of this instance, which has ended.
-        return item.value.decode().split("/")[0] == self.node.settings.instance
+        return self.holder() == self.node.settings.instance
 
     async def _claim(self, item):
         """Write the duty's key; return its revision, None if another one holds it."""
@@ -279,11 +339,10 @@
         effect, the lease ends by itself.
         """
         self.token = 0
+        self.granting.end()
         if self._orders:
             await asyncio.wait(self._orders)
-        unresolved = [
-            group for group in self._ordered_in if self._may_still_promote(group)
-        ]
+        unresolved = self.order_records.unfinished()
         if unresolved:
             logs.event("duty_left", unresolved=",".join(sorted(unresolved)))
         elif self.lease:
@@ -315,6 +374,9 @@
         now = boottime()
         if health.is_behind or self._is_evacuation_due(group, database, now):
             return False
+        leader = self.granting.leader(group)
+        if leader is None or leader.term < state.term:
+            return False
         if state.floor is not None:
             health.seen_at = max(health.seen_at, state.floor.asked_at)
         listed = {item.name for item in self.groups.members(group)}
@@ -338,7 +400,7 @@
         state = self.groups.state(group)
         if self._is_healthy(group, health):
             return
-        health.asked_at = now
+        health.asked_at, token = now, self.token
         statuses = dict(
             zip(
                 [item.name for item in members],
@@ -347,7 +409,15 @@
             )
         )
         reachable = {name: status for name, status in statuses.items() if status}
-        await self._update_roster(group, set(statuses), reachable)
+        confirmed = self._confirm_primary(group, set(statuses), reachable)
+        await self._update_roster(group, set(statuses), reachable, confirmed)
+        if token != self.token:
+            return  # another holder may have replaced the primary meanwhile
+        if await self._finish_order(group):
+            return
+        self._update_permit(group, confirmed, reachable)
+        if self.granting.leader(group) is not None:
+            await self.order_records.settle(group)
         primaries = [n for n, status in reachable.items() if status.is_primary]
         if primaries:
             primary = max(primaries, key=lambda name: reachable[name].term)
@@ -374,18 +444,71 @@
         elif replacement.is_stalled(health, now):
             await self._replace(group, "stalled")
 
-    async def _update_roster(self, group, listed, reachable):
-        """Compute the group's roster and write it to the store if it has changed."""
-        recorded = self.groups.rosters.get(group, {})
-        trusted = {n: s for n, s in reachable.items() if n not in self.groups.reborn}
+    def _confirm_primary(self, group, listed, reachable):
+        """Return the Status of the primary that a quorum confirms, or None."""
+        trusted = self._trusted(reachable)
         votes = [as_vote(name, status) for name, status in trusted.items()]
-        sync_replicas = self.groups.sync_replicas(group)
         needed = rosters.votes_needed(
-            self.groups.quorum(group), listed, set(trusted), sync_replicas
+            self.groups.quorum(group),
+            listed,
+            set(trusted),
+            self.groups.sync_replicas(group),
         )
         primary = confirmed_primary(votes, len(listed), needed)
         if primary is not None and primary.term < self.groups.state(group).term:
-            primary = None
+            return None
+        return primary
+
+    def _trusted(self, statuses):
+        """Return the statuses of the databases that were not born again."""
+        return {n: s for n, s in statuses.items() if n not in self.groups.reborn}
+
+    def _update_permit(self, group, primary, reachable):
+        """Permit the confirmed primary while the roster's replicas receive its writes.
+
+        A database that isn't in the roster yet may otherwise be the only one that
+        holds an acknowledged write.
+        """
+        if primary is None:
+            return
+        roster = self.groups.rosters.get(group, {})
+        received = [
+            status.received
+            for name, status in self._trusted(reachable).items()
+            if name in roster and name != primary.database
+        ]
+        state = self._receiving.setdefault(group, replacement.HealthState(boottime()))
+        replacement.record_positions(state, boottime(), primary.received, received)
+        needs_replica = self.groups.sync_replicas(group) > 0 and len(roster) > 1
+        if state.is_behind or (needs_replica and not received):
+            self.granting.withdraw(group)
+            return
+        known = self.granting.leader(group)
+        if known is None or known[:2] != (primary.database, primary.term):
+            order = self.order_records.get(group)
+            is_ordered = order is not None and order.database == primary.database
+            base = order.base if is_ordered and order.term < primary.term else ZERO
+            self.granting.permit(
+                group, permits.Leader(primary.database, primary.term, base)
+            )
+
+    async def _finish_order(self, group):
+        """Complete an order that has had no effect; return whether there is one.
+
+        Until it has had one, or comes too late, the group's primary is not permitted.
+        """
+        if not self.order_records.is_unfinished(group):
+            return False
+        self.granting.withdraw(group)
+        if self.order_records.may_resend(group):
+            await self._replace(group, "unfinished")
+        return True
+
+    async def _update_roster(self, group, listed, reachable, primary):
+        """Compute the group's roster and write it to the store if it has changed."""
+        recorded = self.groups.rosters.get(group, {})
+        trusted = self._trusted(reachable)
+        sync_replicas = self.groups.sync_replicas(group)
         if primary is None and group in self.groups.outdated_rosters:
             return
         names = rosters.compute_roster(
@@ -514,6 +637,32 @@
             logs.event("replacement_refused", group=group, reached=len(statuses))
             self.metrics.count("replacement.refused")
             return
+        if self._order_left_s(token) > 0:
+            await self.granting.revoke(group)
+        if self._order_left_s(token) <= 0:
+            logs.event("replacement_stopped", group=group, reason="duty_lost")
+            return
+        if reason == "unfinished" and not self.order_records.is_unfinished(group):
+            logs.event("replacement_not_needed", group=group)
+            return
+        asked = {item.name for item in members}
+        await self._pause_and_promote(
+            group, asked, statuses, term, token, plan, read_at
+        )
+
+    async def _pause_and_promote(
+        self, group, asked, statuses, term, token, plan, read_at
+    ):
+        """Pause a group's databases, and promote the one that is chosen.
+
+        No caller is told of a commit meanwhile. `statuses` are those of the databases
+        that were `asked` at `read_at`; those that are listed since are queried now.
+        """
+        paused_at = boottime()
+        members = await self._read_members(group)
+        new = [item for item in members if item.name not in asked]
+        statuses = statuses | await self._statuses(new)
+        voters, quorum = self.groups.quorum_names(group), self.groups.quorum(group)
         paused = []
         if plan is not None:
             paused, may_lead = await self._prepare_evacuation(
@@ -527,8 +676,9 @@
         done = {item.database for item in paused}
         others = [item for item in members if item.name not in done]
         paused += await self._pause_databases(others, statuses, term)
-        eligible = [item for item in paused if item.database in voters]
-        chosen = replacement.choose(eligible, quorum)
+        paused = [x._replace(is_voter=x.database in voters) for x in paused]
+        earlier = self.order_records.pending(group)
+        chosen = replacement.choose(paused, quorum, earlier and earlier.database)
         self._log_choice(
             group,
             chosen,
@@ -540,17 +690,43 @@
             statuses_age_s=boottime() - read_at,
         )
         outcome = PromotionOutcome.NOT_ORDERED
-        if chosen is not None:
-            outcome = await self._promote(group, chosen, term, token)
+        if chosen is not None and self._is_still_usable(chosen):
+            base = next(x.received for x in paused if x.database == chosen)
+            terms = [*_terms(statuses), *(item.term for item in paused)]
+            known_term = max([self.groups.state(group).term, *terms])
+            outcome = await self._promote(
+                group, chosen, known_term, term, token, base, paused_at
+            )
+        elif earlier is not None:
+            logs.event("order_awaited", group=group, database=earlier.database)
         if outcome is PromotionOutcome.NOT_ORDERED:
             await self._resume_databases(group, paused, token)
         if outcome is not PromotionOutcome.DONE:
             return
         self._health.pop(group, None)
-        # The new primary holds every acknowledged write, so databases that are no
-        # longer listed are not needed.
+        # Those that are no longer listed count until enough others have received what
+        # the new primary holds.
         listed = {item.name for item in self.groups.members(group)}
-        await self._write_roster(group, listed | {item.database for item in paused})
+        recorded = self.groups.rosters.get(group, {}).keys()
+        names = listed | recorded | {item.database for item in paused}
+        await self._write_roster(group, names)
+
+    async def _read_members(self, group):
+        """Return a group's databases as they are listed in the store now.
+
+        If the store can't be asked in time, they are those that are known.
+        """
+        directory = self.node.directory
+        try:
+            async with asyncio.timeout(LIST_TIMEOUT_S):
+                await directory.entries.read_now()
+        except (StoreError, TimeoutError) as exc:
+            logs.event("databases_not_read", group=group, error=repr(exc)[:200])
+        return self.groups.members(group)
+
+    def _is_still_usable(self, name):
+        """Return whether a database is still listed, with the log that was read."""
+        return name in self.groups.databases and name not in self.groups.reborn
 
     def _log_choice(self, group, chosen, paused, voters, **fields):
         """Log which database was chosen and what the choice rests on."""
@@ -629,14 +805,13 @@
         return [
             self._as_paused(item, status)
             for item, status in zip(targets, answers, strict=True)
-            if status is not None and not status.is_primary
+            if _is_paused(statuses[item.name], status, term)
         ]
 
     def _log_pause(self, database, before, status, term, asked_at):
         """Log a database's answer to a PAUSE or STEPDOWN; `status` may be None."""
-        is_paused = status is not None and not status.is_primary
         logs.event(
-            "paused" if is_paused else "not_paused",
+            "paused" if _is_paused(before, status, term) else "not_paused",
             group=database.group,
             database=database.name,
             command="step_down" if before.is_primary else "pause",
@@ -655,6 +830,7 @@
             database.data_centre == self.node.settings.data_centre,
             self.groups.is_evacuated(database.name),
             self._is_in_regions(database),
+            term=status.term,
         )
 
     def _is_in_regions(self, database):
@@ -667,15 +843,26 @@
         )
         return common is None or database.data_centre in common
 
-    async def _promote(self, group, database, term, token):
+    async def _promote(self, group, database, known_term, term, token, base, paused_at):
         """Order a promotion with the token that was held when its group was paused.
 
-        What was learned under another token may be out of date. Return the
-        PromotionOutcome.
+        What was learned under another token may be out of date. `known_term` is the
+        group's latest known term, `base` the end of the database's log. No pause was
+        sent before `paused_at`. Return the PromotionOutcome.
         """
+        earlier, sent = (
+            self.order_records.pending(group),
+            self.order_records.sent(group),
+        )
+        record = orders.Order(database, known_term, base, earlier is not None)
+        if not await self.order_records.add(group, record):
+            return PromotionOutcome.NOT_ORDERED
         left_s = self._order_left_s(token)
-        if left_s <= 0:
-            logs.event("replacement_stopped", group=group, reason="duty_lost")
+        is_late = boottime() - paused_at > PAUSED_FOR_S
+        if left_s <= 0 or is_late:
+            reason = "late" if is_late else "duty_lost"
+            logs.event("replacement_stopped", group=group, reason=reason)
+            await self.order_records.take_back(group, earlier, sent)
             return PromotionOutcome.NOT_ORDERED
         ordered_at = boottime()
         logs.event(
@@ -684,7 +871,7 @@
             database=database,
             term=term,
             token=token,
-            known_term=self.groups.state(group).term,
+            known_term=known_term,
             left_s=left_s,
         )
         order = spawn(
@@ -697,8 +884,6 @@
                 lambda: self._order_left_s(token),
             ),
         )
-        was_unresolved = self._may_still_promote(group)
-        self._ordered_in[group] = self.groups.state(group).term
         await asyncio.wait({order})
         status, may_have_run = self._order_result(group, order)
         logs.event(
@@ -712,19 +897,17 @@
             took_s=boottime() - ordered_at,
         )
         if not may_have_run:
-            if not was_unresolved:
-                del self._ordered_in[group]
+            await self.order_records.take_back(group, earlier, sent)
             return PromotionOutcome.NOT_ORDERED
-        is_done = await self._wait_for_promotion(group, database, ordered_at)
-        return PromotionOutcome.DONE if is_done else PromotionOutcome.UNKNOWN
-
-    def _may_still_promote(self, group):
-        """Return whether an order for a group may still take effect.
-
-        It has done so, or has come too late, once the group has a later term.
-        """
-        term = self._ordered_in.get(group)
-        return term is not None and self.groups.state(group).term <= term
+        self.order_records.note_sent(group, record)
+        promoted = await self._wait_for_promotion(group, database, ordered_at)
+        if promoted is None or token != self.token:
+            return PromotionOutcome.UNKNOWN
+        # It may have been born again, without its log.
+        base = base if promoted.received >= base else ZERO
+        self.granting.permit(group, permits.Leader(database, promoted.term, base))
+        await self.order_records.settle(group)
+        return PromotionOutcome.DONE
 
     def _order_result(self, group, order):
         """Return the status of an order that has ended, and whether it may take effect.
@@ -746,6 +929,7 @@
         return status, may_have_run
 
     async def _wait_for_promotion(self, group, database, ordered_at):
+        """Return the status of a database that leads, None if it doesn't in time."""
         end = boottime() + PROMOTION_EFFECT_TIMEOUT_S
         while boottime() < end:
             status = await self.router.status_of(database)
@@ -759,7 +943,7 @@
                     **_status_fields(status),
                     since_order_s=boottime() - ordered_at,
                 )
-                return True
+                return status
             await asyncio.sleep(PROMOTION_POLL_S)
         logs.event(
             "promotion_not_seen",
@@ -767,7 +951,7 @@
             database=database,
             since_order_s=boottime() - ordered_at,
         )
-        return False
+        return None
 
     async def _resume_databases(self, group, paused, token):
         """Let paused databases receive again.
@@ -775,13 +959,13 @@
         They stay paused if another instance may hold the duty or an order may still
         take effect: what they receive then could be missing from the next primary.
         """
-        if self._may_still_promote(group) or self._order_left_s(token) <= 0:
+        if self.order_records.is_unfinished(group) or self._order_left_s(token) <= 0:
             logs.event(
                 "databases_stay_paused",
                 group=group,
                 token=token,
                 databases=logs.join(item.database for item in paused),
-                ordered=self._may_still_promote(group),
+                ordered=self.order_records.is_unfinished(group),
             )
             return
         adapter = self.node.ports.databases
--- a/dragonflywing/router.py
+++ b/dragonflywing/router.py
@@ -127,9 +127,11 @@
         self.metrics.count("home.unreachable")
 
     async def _command_at(self, instance, database, text):
+        peer = self.cluster.peers.get(instance)
+        name = "timed_command" if peer and peer.has_permits else "command"
         try:
             body = await self.cluster.call(
-                instance, "command", f"{database} {text}".encode(), COMMAND_TIMEOUT_S
+                instance, name, f"{database} {text}".encode(), COMMAND_TIMEOUT_S
             )
         except LinkLost:
             self.metrics.count("link.command_failed")
@@ -560,9 +562,15 @@
     )
 
 
-def pack_status(status):
-    """Return a DatabaseStatus, or None, as bytes."""
-    return json.dumps(list(status) if status else None).encode()
+def pack_status(status, is_timed):
+    """Return a DatabaseStatus, or None, as bytes.
+
+    Earlier builds can't read one that is timed, with the age of its connection.
+    """
+    fields = list(status) if status else None
+    if fields and not is_timed:
+        fields = fields[:-1]
+    return json.dumps(fields).encode()
 
 
 def unpack_status(body):
--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -72,6 +72,7 @@
     database: str
     home: str
     handle: str
+    has_written: bool = False
 
 
 def prepared_name(definition):
@@ -263,8 +264,29 @@
             self._fail()
         elif kind == "write" and self.transaction is None:
             self._note_write(answer)
+        elif kind == "write":
+            self.transaction = self.transaction._replace(has_written=True)
         return self._reply(answer.code, answer.text, answer.rows, answer.position)
 
+    async def _acknowledge(self, op, group, database, answer, deadline):
+        """Return a commit's answer once the caller may be told of its success.
+
+        If this isn't known at the deadline, the commit is in doubt.
+        """
+        if answer.code or answer.position is None:
+            return answer
+        is_confirmed = await self.node.acknowledgements.confirm(
+            op.statement_id,
+            group,
+            database,
+            answer.position,
+            deadline - self.node.now(),
+        )
+        if is_confirmed:
+            return answer
+        text = "the primary is being replaced, the commit may be lost"
+        return self.node.router.failure(outcomes.IN_DOUBT, text)
+
     def _note_write(self, answer):
         if answer.position is not None:
             self.floor = max(self.floor, answer.position)
@@ -346,15 +368,19 @@
             transaction.database, transaction.home, find_allowed()
         ):
             return self._abort_outside_regions(op)
-        remaining_s = self._deadline(self.route()) - self.node.now()
+        group, deadline = self.route().group, self._deadline(self.route())
+        remaining_s = deadline - self.node.now()
         req = self._request(op, kind, text, prepared, transaction.database, remaining_s)
         req.transaction = transaction.handle
         answer, handle, _ = await router.run_at(transaction.home, req)
+        if kind == "commit" and transaction.has_written:
+            answer = await self._acknowledge(
+                op, group, transaction.database, answer, deadline
+            )
         if handle:
             return answer
         self.transaction = transaction._replace(handle="")
         if kind == "commit":
-            deadline = self._deadline(self.route())
             self._log_outcome(op, kind, req, transaction.home, answer, 0, deadline)
         verdict = outcomes.verdict(answer.code)
         if kind != "commit" and verdict is Verdict.MAY_HAVE_RUN:
@@ -434,6 +460,10 @@
             self._set_opening_and_bounds(req, route, kind, database)
             answer, handle, home = await self.node.router.run(req, find_allowed)
             self.node.router.note_answer(req, route, answer)
+            if kind == "write" and self.transaction is None:
+                answer = await self._acknowledge(
+                    op, route.group, database, answer, deadline
+                )
             if self.transaction is not None:
                 self.transaction = self.transaction._replace(
                     database=database, home=home, handle=handle
--- a/test/played_load.py
+++ b/test/played_load.py
@@ -166,7 +166,12 @@
 
         directory = SimpleNamespace(cfg=self.cfg, is_confirmed=lambda: True)
         directory.version, directory.confirmation_age = lambda: 1, lambda: 0.0
+
+        async def confirm(*commit):
+            return True
+
         node = SimpleNamespace(instance=instance, now=router.now, admit=admit)
+        node.acknowledgements = SimpleNamespace(confirm=confirm)
         node.cluster, node.groups, node.router = cluster, groups, router
         node.metrics, node.ports, node.directory = metrics, ports, directory
         return node
--- a/test/test_evacuation.py
+++ b/test/test_evacuation.py
@@ -7,9 +7,22 @@
 
 import pytest
 
-from dragonflywing import directory, following, groups, outcomes, replacer
+from dragonflywing import (
+    directory,
+    following,
+    granting,
+    groups,
+    order_records,
+    outcomes,
+    replacer,
+)
 from dragonflywing.cluster import Cluster
-from dragonflywing.decisions import eras, evacuation, replacement, replicas
+from dragonflywing.decisions import (
+    eras,
+    evacuation,
+    replacement,
+    replicas,
+)
 from dragonflywing.decisions.eras import Revision
 from dragonflywing.decisions.positions import Position
 from dragonflywing.decisions.relays import Role
@@ -36,7 +49,7 @@
 
 @pytest.fixture(autouse=True)
 def simulated_clock(monkeypatch):
-    for module in (directory, following, groups, replacer):
+    for module in (directory, following, granting, groups, order_records, replacer):
         monkeypatch.setattr(module, "boottime", clock)
 
 
@@ -451,15 +464,20 @@
         node = SimpleNamespace(
             settings=SimpleNamespace(instance="me", data_centre="dc-a"),
             groups=state,
-            cluster=SimpleNamespace(eras=eras.EraState()),
+            cluster=SimpleNamespace(eras=eras.EraState(), peers={}),
             router=fleet,
             metrics=state.metrics,
             ports=SimpleNamespace(store=None, databases=fleet, promote=fleet.promote),
-            directory=SimpleNamespace(cfg=SimpleNamespace(groups=["g"], routes={})),
+            directory=SimpleNamespace(
+                cfg=SimpleNamespace(groups=["g"], routes={}),
+                entries=SimpleNamespace(read_now=lambda: asyncio.sleep(0)),
+            ),
         )
         holder = Replacer(node)
         holder.token, holder.valid_until = 1, 1e12
+        holder.granting.begin(1)
         holder._write_roster = lambda *args: asyncio.sleep(0)
+        holder.order_records._write = lambda *args: asyncio.sleep(0, True)
         holder.task = asyncio.create_task(holder.watch())
         await asyncio.sleep(1.0)
         assert fleet.commands == []
--- a/test/test_replacer.py
+++ b/test/test_replacer.py
@@ -1,19 +1,22 @@
 """Tests of the duty to replace primaries, on a simulated clock."""
 
 import asyncio
+import json
 from types import SimpleNamespace
 
 import pytest
 
-from dragonflywing import groups, replacer
-from dragonflywing.decisions import eras, replacement
+from dragonflywing import granting, groups, order_records, replacer
+from dragonflywing.decisions import eras, orders, permits, replacement
 from dragonflywing.decisions.eras import ABSENT, EraState, Lease, Revision
 from dragonflywing.decisions.positions import Position
 from dragonflywing.decisions.relays import Role
 from dragonflywing.deployment import Database
 from dragonflywing.errors import StoreError
 from dragonflywing.groups import Groups
+from dragonflywing.links import LinkLost
 from dragonflywing.metrics import Metrics
+from dragonflywing.order_records import ORDER_PREFIX
 from dragonflywing.ports import DatabaseStatus, StoredItem
 from dragonflywing.replacer import (
     DUTY_KEY,
@@ -25,10 +28,11 @@
 
 
 class Store:
-    """The duty's key and its lease; `restore` loses both."""
+    """The duty's key and its lease, and the orders; `restore` loses the first two."""
 
     def __init__(self, era=1):
         self.era, self.number, self.item, self.leases = era, 10, None, {}
+        self.orders = {}
         self.on_era = []  # called before each answer, as by the client of the store
 
     def restore(self):
@@ -45,10 +49,13 @@
 
     async def get(self, key):
         self._drop_ended()
+        if key in self.orders:
+            return self.orders[key], Revision(self.era, self.number)
         return (self.item[0] if self.item else None), Revision(self.era, self.number)
 
     async def get_prefix(self, prefix):
-        return [], Revision(self.era, self.number)
+        found = [item for key, item in self.orders.items() if key.startswith(prefix)]
+        return found, Revision(self.era, self.number)
 
     async def grant_lease(self, seconds):
         self.number += 1
@@ -63,8 +70,14 @@
         self.leases[lease] = asyncio.get_running_loop().time() + DUTY_LEASE_S
         return True
 
-    async def swap(self, key, value, revision, lease):
+    async def swap(self, key, value, revision, lease=None, guard=None):
         self._drop_ended()
+        if guard is not None:
+            held = self.item[0].revision if self.item else ABSENT
+            if guard != (DUTY_KEY, held):
+                return None
+        if key.startswith(ORDER_PREFIX):
+            return self._swap_order(key, value, revision)
         current = self.item[0].revision if self.item else ABSENT
         if revision != current or lease not in self.leases:
             return None
@@ -73,6 +86,14 @@
         self.item = (StoredItem(key, value, written), lease)
         return written
 
+    def _swap_order(self, key, value, revision):
+        known = self.orders.get(key)
+        if revision != (known.revision if known else ABSENT):
+            return None
+        self.number += 1
+        self.orders[key] = StoredItem(key, value, Revision(self.era, self.number))
+        return self.orders[key].revision
+
 
 @pytest.fixture
 def start(monkeypatch):
@@ -80,7 +101,8 @@
 
     def start_replacer(store, name):
         loop = asyncio.get_running_loop()
-        monkeypatch.setattr(replacer, "boottime", loop.time)
+        for module in (granting, order_records, replacer):
+            monkeypatch.setattr(module, "boottime", loop.time)
         eras_state = EraState()
         store.on_era.append(lambda era: eras.note_era(eras_state, loop.time(), era))
 
@@ -94,7 +116,13 @@
             rank=lambda subject: 0,
             role=lambda: Role.DIRECT,
             mark_era=mark_era,
+            peers={},
+            call=None,
         )
+
+        async def read_now():
+            pass
+
         node = SimpleNamespace(
             settings=SimpleNamespace(instance=name, data_centre="here"),
             groups=Groups(None, Metrics()),
@@ -103,7 +131,10 @@
             metrics=Metrics(),
             ports=SimpleNamespace(store=store),
             directory=SimpleNamespace(
-                has_database_list=True, has_evacuation_list=True, cfg=None
+                has_database_list=True,
+                has_evacuation_list=True,
+                cfg=None,
+                entries=SimpleNamespace(read_now=read_now),
             ),
         )
         state = Replacer(node)
@@ -187,12 +218,15 @@
 
 
 class Platform:
-    """A promotion service that answers after `answer_s`; `orders` holds tokens."""
+    """A promotion service that answers after `answer_s`.
+
+    `orders` holds tokens, `ordered` the names of databases.
+    """
 
     def __init__(self):
         self.answer_s, self.open_s = 0.0, 0.0
         self.status = 200
-        self.orders = []
+        self.orders, self.ordered = [], []
 
     async def promote(self, group, database, holder, token, left_s):
         count = len(self.orders)
@@ -202,6 +236,7 @@
                 if left_s() <= 0:
                     raise StoreError("too late", False)
                 self.orders.append(token)
+                self.ordered.append(database)
                 await asyncio.sleep(self.answer_s)
                 return self.status
         except TimeoutError:
@@ -209,12 +244,16 @@
 
 
 class Databases:
-    """Three databases that obey control statements; `commands` holds those."""
+    """Three databases that obey control statements; `commands` holds those.
+
+    `primary` leads, and those in `down` don't answer.
+    """
 
     RESUME = "RESUME"
 
     def __init__(self):
         self.commands = []
+        self.primary, self.down = None, set()
         self.before_answer = None  # called once before the next PAUSE is answered
 
     def pause(self, term):
@@ -224,7 +263,10 @@
         return f"STEPDOWN {term}"
 
     async def status_of(self, name):
-        return DatabaseStatus(False, 1, Position(1, 5), 0, 0.0, 0, 1)
+        if name in self.down:
+            return None
+        is_primary = name == self.primary
+        return DatabaseStatus(is_primary, 1, Position(1, 5), 0, 0.0, 0, 1)
 
     async def command(self, name, text):
         self.commands.append(text)
@@ -234,34 +276,35 @@
         return await self.status_of(name)
 
 
-class TestOrders:
-    """ONE and LOST: orders that took effect after their holder's right had ended."""
+@pytest.fixture
+def holding(start, monkeypatch):
+    """Return a function that runs `check(state, store, platform, databases)`."""
+
+    def run_check(check):
+        async def run_holder():
+            loop = asyncio.get_running_loop()
+            monkeypatch.setattr(groups, "boottime", loop.time)
+            store, platform, databases = Store(), Platform(), Databases()
+            state, tasks = start(store, "a")
+            state.node.router = state.router = databases
+            state.node.ports.databases = databases
+            state.node.ports.promote = platform.promote
+            for name in ("x", "y", "z"):
+                entry = Database(name, "g", "h", 1, "here", 2, False, False, 1)
+                state.groups.note_database(entry)
+            await asyncio.sleep(1.5)
+            assert state.holds_duty()
+            state._health["g"] = replacement.HealthState(loop.time())
+            await check(state, store, platform, databases)
+            stop(tasks)
 
-    @pytest.fixture
-    def holding(self, start, monkeypatch):
-        """Return a function that runs `check(state, store, platform, databases)`."""
+        run_on_simulated_clock(run_holder())
 
-        def run_check(check):
-            async def run_holder():
-                loop = asyncio.get_running_loop()
-                monkeypatch.setattr(groups, "boottime", loop.time)
-                store, platform, databases = Store(), Platform(), Databases()
-                state, tasks = start(store, "a")
-                state.node.router = state.router = databases
-                state.node.ports.databases = databases
-                state.node.ports.promote = platform.promote
-                for name in ("x", "y", "z"):
-                    entry = Database(name, "g", "h", 1, "here", 2, False, False, 1)
-                    state.groups.note_database(entry)
-                await asyncio.sleep(1.5)
-                assert state.holds_duty()
-                state._health["g"] = replacement.HealthState(loop.time())
-                await check(state, store, platform, databases)
-                stop(tasks)
-
-            run_on_simulated_clock(run_holder())
-
-        return run_check
+    return run_check
+
+
+class TestOrders:
+    """ONE and LOST: orders that took effect after their holder's right had ended."""
 
     @pytest.mark.parametrize("open_s,sent", [(10.0, 0), (1.0, 1)])
     def test_end_before_the_lease_can_end(self, holding, open_s, sent):
@@ -380,8 +423,207 @@
             await state._replace("g", "silent")
             assert len(platform.orders) == 2
             assert "RESUME" not in databases.commands
+            # Another one in a later term may have led in it before the order.
             state.groups.note_primary("g", "x", 2)
             await state._replace("g", "silent")
+            assert "RESUME" not in databases.commands
+            state.groups.note_primary("g", platform.ordered[0], 3)
+            await state._replace("g", "silent")
             assert databases.commands.count("RESUME") == 3
 
         holding(check)
+
+
+class TestRevocation:
+    """LOST: an old primary acknowledged after the next one's log had been read."""
+
+    def test_precedes_every_pause(self, holding):
+        async def check(state, store, platform, databases):
+            async def call(instance, name, body, timeout_s):
+                raise LinkLost("timed out", True)
+
+            peer = SimpleNamespace(instance="b", data_centre="there")
+            state.cluster.peers, state.cluster.call = {"b": peer}, call
+            state.granting.state.earlier_lapse_at = 0.0
+            given_at = asyncio.get_running_loop().time()
+            state.granting.give("b")
+            task = asyncio.create_task(state._replace("g", "silent"))
+            while not databases.commands:
+                await asyncio.sleep(0.01)
+            waited_s = asyncio.get_running_loop().time() - given_at
+            assert permits.PERMIT_S <= waited_s < permits.PERMIT_S + 0.1
+            await task
+            assert len(platform.orders) == 1
+
+        holding(check)
+
+    def test_lasts_while_an_order_may_take_effect(self, holding):
+        async def check(state, store, platform, databases):
+            databases.primary = "x"
+            await state._check_group("g")
+            assert state.granting.leader("g")[:2] == ("x", 1)
+            platform.status = 502
+            await state._replace("g", "stalled")
+            # The former primary answers, but another one may be promoted any time.
+            await state._check_group("g")
+            assert state.granting.leader("g") is None
+
+        holding(check)
+
+
+class TestPermitsOfALaterToken:
+    """LOST: a primary was permitted that another holder had replaced meanwhile."""
+
+    async def lose_and_acquire(self, state, store):
+        state._lose_duty("lease_ended")
+        store.item = None
+        while not state.token:
+            await asyncio.sleep(0.1)
+
+    def test_are_not_given_for_statuses_from_before_the_duty_was_lost(self, holding):
+        async def check(state, store, platform, databases):
+            async def update_roster(*args):
+                await self.lose_and_acquire(state, store)
+
+            databases.primary, state._update_roster = "x", update_roster
+            await state._check_group("g")
+            assert state.granting.leader("g") is None
+
+        holding(check)
+
+    def test_are_not_given_for_a_promotion_ordered_before_that(self, holding):
+        async def check(state, store, platform, databases):
+            async def wait_for_promotion(group, database, ordered_at):
+                await self.lose_and_acquire(state, store)
+                return await databases.status_of(database)
+
+            state._wait_for_promotion = wait_for_promotion
+            await state._replace("g", "silent")
+            assert len(platform.orders) == 1
+            assert state.granting.leader("g") is None
+
+        holding(check)
+
+
+class TestRecordedOrders:
+    """LOST: an order took effect after a later holder had promoted another database."""
+
+    RECORD = orders.Order("x", 1, Position(1, 5))
+
+    def start(self, holding, check):
+        async def find_order(state, store, platform, databases):
+            state.groups.note_primary("g", "y", 1)
+            key = ORDER_PREFIX + "g"
+            value = json.dumps(orders.encode(self.RECORD)).encode()
+            await store.swap(key, value, ABSENT)
+            state._lose_duty("lease_ended")
+            store.item = None
+            while not state.token:
+                await asyncio.sleep(0.1)
+            platform.status = 502
+            await check(state, platform, databases)
+
+        holding(find_order)
+
+    def test_are_completed_by_a_later_holder(self, holding):
+        async def check(state, platform, databases):
+            databases.primary = "y"  # it can be reached again
+            await state._check_group("g")
+            assert platform.ordered == ["x"]
+
+        self.start(holding, check)
+
+    def test_are_awaited_if_their_database_is_gone(self, holding):
+        async def check(state, platform, databases):
+            databases.down = {"x"}
+            await state._replace("g", "silent")
+            assert platform.ordered == [] and "RESUME" not in databases.commands
+            await asyncio.sleep(orders.LATE_S)
+            state.valid_until = asyncio.get_running_loop().time() + DUTY_LEASE_S
+            await state._replace("g", "silent")
+            assert platform.ordered == ["z"]
+
+        self.start(holding, check)
+
+    def test_are_written_before_they_are_sent(self, holding):
+        async def check(state, store, platform, databases):
+            async def swap(key, value, revision, lease=None, guard=None):
+                assert platform.orders == []
+                raise StoreError("down", False)
+
+            store.swap = swap
+            await state._replace("g", "silent")
+            assert platform.orders == [] and databases.commands.count("RESUME") == 3
+
+        holding(check)
+
+    def test_of_a_later_holder_are_not_overwritten_by_a_former_one(self, holding):
+        async def check(state, store, platform, databases):
+            key, swap = ORDER_PREFIX + "g", store.swap
+            later = json.dumps(orders.encode(self.RECORD)).encode()
+
+            async def swap_late(*args, guard):
+                store.swap = swap
+                state._lose_duty("key_changed")
+                lease = await store.grant_lease(DUTY_LEASE_S)
+                await swap(DUTY_KEY, b"b/1", state.claimed, lease)
+                await swap(key, later, ABSENT)
+                return await swap(*args, guard=guard)
+
+            store.swap = swap_late
+            await state._replace("g", "silent")
+            assert platform.orders == [] and store.orders[key].value == later
+
+        holding(check)
+
+    def test_that_take_effect_while_permits_are_revoked_are_not_repeated(self, holding):
+        # Otherwise the database that has just been promoted is replaced.
+        async def check(state, store, platform, databases):
+            async def status_of(name):
+                term = 2 if databases.primary else 1
+                is_primary = name == databases.primary
+                status = DatabaseStatus(is_primary, term, Position(1, 5), 0, 0.0, 0, 1)
+                state.groups.note_status(name, status)
+                return status
+
+            async def revoke(group):
+                databases.primary = platform.ordered[0]
+
+            databases.status_of, platform.status = status_of, 502
+            await state._replace("g", "silent")
+            state.granting.revoke = revoke
+            await state._check_group("g")
+            assert len(platform.ordered) == 1
+
+        holding(check)
+
+    def test_last_although_the_term_that_databases_had_reported_is_seen(self, holding):
+        # LOST: the holder had not seen the primary x, which returns before the effect.
+        async def check(state, store, platform, databases):
+            async def status_of(name):
+                is_primary = name == databases.primary
+                status = DatabaseStatus(is_primary, 2, Position(2, 5), 0, 0.0, 0, 1)
+                state.groups.note_status(name, status)
+                return status
+
+            databases.status_of, platform.status = status_of, 502
+            await state._replace("g", "silent")
+            assert platform.ordered == ["z"]
+            databases.primary = "x"
+            await state._check_group("g")
+            assert state.granting.leader("g") is None
+
+        holding(check)
+
+    def test_do_not_last_longer_as_their_repetition_is_refused(self, holding):
+        # Otherwise the group never gets a primary.
+        async def check(state, store, platform, databases):
+            platform.status = 502
+            await state._replace("g", "silent")
+            platform.status = 409
+            for _ in range(int(orders.LATE_S) + 2):
+                await asyncio.sleep(1.0)
+                await state._replace("g", "silent")
+            assert state.order_records.pending("g") is None
+
+        holding(check)
--- a/test/test_sessions.py
+++ b/test/test_sessions.py
@@ -3,7 +3,10 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
+
 from dragonflywing import outcomes, sessions
+from dragonflywing.decisions.positions import Position
 from dragonflywing.decisions.retries import MAX_BACKOFF_S, MIN_BACKOFF_S
 from dragonflywing.metrics import Metrics
 from dragonflywing.ports import Answer
@@ -40,7 +43,9 @@
         ),
         router=SimpleNamespace(
             failure=lambda code, text: Answer(code, text, (), False, None),
-            new_request=lambda **fields: SimpleNamespace(**fields, opening=""),
+            new_request=lambda **fields: SimpleNamespace(
+                **fields, opening="", max_age=-1.0
+            ),
             is_primary=lambda route, database: True,
             competes=lambda group: False,
             regions={},
@@ -74,3 +79,45 @@
         # Pauses are random.
         for _ in range(20):
             run_on_simulated_clock(check())
+
+
+class TestCommits:
+    """LOST: callers were told of commits that the next primary lacked."""
+
+    WRITE, READ = ("write", "WRITE a 1"), ("read", "READ a")
+    COMMIT = ("commit", "COMMIT")
+
+    @pytest.mark.parametrize(
+        ("statements", "code", "asked"),
+        [
+            ([WRITE], outcomes.IN_DOUBT, 1),
+            ([("begin", "BEGIN"), WRITE, COMMIT], outcomes.IN_DOUBT, 1),
+            ([("begin", "BEGIN"), READ, COMMIT], outcomes.OK, 0),
+        ],
+    )
+    def test_are_in_doubt_unless_they_are_confirmed(self, statements, code, asked):
+        async def check():
+            node, confirmations = refusing_node([]), []
+            answer = Answer(outcomes.OK, "-", (), False, Position(3, 5))
+
+            async def run(req, find_allowed):
+                return answer, "handle" if req.opening else "", "home"
+
+            async def run_at(home, req):
+                return answer, "" if req.kind == "commit" else "handle", home
+
+            async def confirm(*commit):
+                confirmations.append(commit)
+                return False
+
+            node.router.run, node.router.run_at = run, run_at
+            node.acknowledgements = SimpleNamespace(confirm=confirm)
+            node.ports.databases = SimpleNamespace(BEGIN="BEGIN", BEGIN_READ="")
+            node.directory.version = node.directory.confirmation_age = lambda: 1
+            session = sessions.Session(node, "r", "")
+            for kind, text in statements:
+                op = sessions.Operation(kind, "1", text, "", "")
+                reply = await session.handle(op)
+            assert (reply.code, len(confirmations)) == (code, asked)
+
+        run_on_simulated_clock(check())
