--- a/test/platform/deployment.py
+++ b/test/platform/deployment.py
@@ -188,8 +188,9 @@
 
     def put_database_entry(self, database, data_centre=None, state="ready"):
         """Write a database's entry to the store, as the database does itself."""
-        number = int(database.name.rpartition("-")[2])
-        data_centre = data_centre or DATA_CENTRES[number % len(DATA_CENTRES)]
+        if data_centre is None:
+            number = int(database.name.rpartition("-")[2])
+            data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         host, port = database.address
         entry = {
             "service": self.group.name,
