--- a/test/test_pacing.py
+++ b/test/test_pacing.py
@@ -10,12 +10,13 @@
 from dragonflywing import groups, outcomes, pacing
 from dragonflywing.decisions import division, warmup
 from dragonflywing.decisions.eras import Revision
+from dragonflywing.decisions.positions import Position
 from dragonflywing.deployment import Database, Group
 from dragonflywing.groups import Groups
 from dragonflywing.links import idl, unpack
 from dragonflywing.metrics import Metrics
 from dragonflywing.pacing import Pacing
-from dragonflywing.ports import Answer, ConnectionRefused
+from dragonflywing.ports import Answer, ConnectionRefused, DatabaseStatus
 from dragonflywing.router import pack_answer
 from test.helper import run_on_simulated_clock
 
@@ -46,7 +47,9 @@
     RESET, ROLLBACK, BEGIN, STATUS = "RESET", "ROLLBACK", "BEGIN", "STATUS"
     at_position = staticmethod(lambda position, text: text)
     set_value = staticmethod(lambda name, value: f"SET {name} {value}")
-    decode_status = staticmethod(lambda answer: SimpleNamespace(connections=0))
+    decode_status = staticmethod(
+        lambda answer: DatabaseStatus(False, 1, Position(1, 0), 0, 0.0, 0, 0)
+    )
 
     def __init__(self):
         self.sent = []
