Apply the items that a follower hands over one by one

One entry in the store that couldn't be decoded raised an exception in the middle of a list. The follower had already put the whole list into its copy and noted it as applied, so when its task was started again it only watched, and the entries behind the bad one were never used. The same held for changes that a relay passes on, for the fleet's own keys (members, rosters, the duty) and for evacuations: they share the follower.

A follower now calls `on_item` for each item and goes on if one fails. The failure is counted (store.item_failed) and logged once for each revision; the item is handed over again with the next list, and a task that starts again hands over all that the copy holds. A configuration is noted as the one in force once it has been put in force, not before.

--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -65,7 +65,7 @@
         self.confirmed_at = None
         self.confirmed_revision = ABSENT
         self.entries = Follower(
-            ports.store, ports.database_prefix, self._apply_entries, metrics
+            ports.store, ports.database_prefix, self._apply_entry, metrics
         )
         self.entries.hold_s = self._hold_s
         groups.entries_age = self.confirmation_age
@@ -124,11 +124,12 @@
             return False
         if cfg.version == self.version():
             return True
-        self.cfg = cfg
-        self._compressed = zlib.compress(data, COMPRESSION_LEVEL)
         self.groups.specs = cfg.groups
         self.groups.workspace_count = len(cfg.workspaces)
         self.on_configuration(cfg)
+        # Set last: if the above fails, it is tried again.
+        self.cfg = cfg
+        self._compressed = zlib.compress(data, COMPRESSION_LEVEL)
         self.metrics.count(f"configuration.from_{source}")
         logs.event("configuration", version=cfg.version, source=source, size=len(data))
         return True
@@ -279,22 +280,21 @@
             return False
         return self.groups.is_superseded(database)
 
-    def _apply_entries(self, items):
-        """Apply changed entries of databases."""
-        for item in items:
-            database = None
-            if item.value is not None:
-                database = self.ports.decode_database(item.key, item.value)
-                if database is None:
-                    self.metrics.count("refused.bad_database_entry")
-                    logs.event("bad_database_entry", key=item.key)
+    def _apply_entry(self, item):
+        """Apply a changed entry of a database; a malformed one names none to use."""
+        database = None
+        if item.value is not None:
+            database = self.ports.decode_database(item.key, item.value)
             if database is None:
-                self.groups.remove_database(self._database_name(item.key))
-            elif self._is_brought_back(item, database):
-                self.metrics.count("database.brought_back")
-                logs.event("database_brought_back", database=database.name)
-            elif self.groups.databases.get(database.name) != database:
-                self.groups.note_database(database)
+                self.metrics.count("refused.bad_database_entry")
+                logs.event("bad_database_entry", key=item.key)
+        if database is None:
+            self.groups.remove_database(self._database_name(item.key))
+        elif self._is_brought_back(item, database):
+            self.metrics.count("database.brought_back")
+            logs.event("database_brought_back", database=database.name)
+        elif self.groups.databases.get(database.name) != database:
+            self.groups.note_database(database)
 
     # Evacuations
 
@@ -302,7 +302,7 @@
         ports = self.ports
         self.has_evacuation_list = False
         self.evacuations = Follower(
-            ports.store, ports.evacuation_prefix, self._apply_evacuations, self.metrics
+            ports.store, ports.evacuation_prefix, self._apply_evacuation, self.metrics
         )
         self.evacuations.allows_old_list = False
         self.evacuations.on_list = self._note_evacuation_list
@@ -334,18 +334,17 @@
         age_s = boottime() - self.groups.evacuations.known_at
         return None if math.isinf(age_s) else age_s
 
-    def _apply_evacuations(self, items):
-        """Apply changed keys of evacuations; only the key of one matters."""
-        for item in items:
-            data_centre = item.key[len(self.ports.evacuation_prefix) :]
-            if item.value is None:
-                self.groups.end_evacuation(data_centre)
-                continue
-            if data_centre not in self.settings.regions:
-                self._note_bad_evacuation(data_centre, "unknown data centre")
-            if not _is_json_object(item.value):
-                self._note_bad_evacuation(data_centre, "malformed value")
-            self.groups.note_evacuation(data_centre, item.revision)
+    def _apply_evacuation(self, item):
+        """Apply a changed key of an evacuation; its value doesn't matter."""
+        data_centre = item.key[len(self.ports.evacuation_prefix) :]
+        if item.value is None:
+            self.groups.end_evacuation(data_centre)
+            return
+        if data_centre not in self.settings.regions:
+            self._note_bad_evacuation(data_centre, "unknown data centre")
+        if not _is_json_object(item.value):
+            self._note_bad_evacuation(data_centre, "malformed value")
+        self.groups.note_evacuation(data_centre, item.revision)
 
     def _note_bad_evacuation(self, data_centre, reason):
         self.metrics.count("refused.bad_evacuation")
--- a/dragonflywing/following.py
+++ b/dragonflywing/following.py
@@ -31,17 +31,19 @@
 class Follower:
     """A copy of the keys under a prefix, which it keeps up to date.
 
-    `on_items(items)` is called with the items that changed, `hold_s(key)` says how
+    `on_item(item)` is called for each item that changed, those with the least
+    `order(item)` first, and `on_applied()` after all of them. An item for which it
+    fails doesn't keep the others from being applied. `hold_s(key)` says how
     long a deletion is held back after an outage of the store. While
     `is_served()` is true, other instances pass the changes on, and the store is
     not asked. Changes within `batch_s()` are read with one call. `on_list(asked_at)`
     is called after a list was applied that held all keys of that time.
     """
 
-    def __init__(self, store, prefix, on_items, metrics):
+    def __init__(self, store, prefix, on_item, metrics):
         self.store = store
         self.prefix = prefix
-        self.on_items = on_items
+        self.on_item = on_item
         self.metrics = metrics
         self.replica = replicas.Replica()
         self.has_list = False
@@ -51,6 +53,10 @@
         # The revisions of the changes that were received lately.
         self.received = collections.deque(maxlen=MAX_RECEIVED)
         self._watching = None  # the timeout of the watch that is waiting
+        # The items for which `on_item` failed, {key: item}.
+        self._failed = {}
+        self.order = lambda item: 0
+        self.on_applied = lambda: None
         self.hold_s = lambda key: replicas.RESTORE_S
         self.is_served = lambda: False
         self.batch_s = lambda: 0.0
@@ -69,6 +75,7 @@
         if changes.is_complete and is_newer:
             self.has_list = True
             self._must_list = False
+            items = self._with_failed(items)
         if changes.is_complete and not is_newer:
             self.metrics.count("store.list_rejected")
             logs.event(
@@ -79,7 +86,37 @@
             )
         if items:
             self._expect_report(WATCH_LATE_S)
-            self.on_items(items)
+            self._hand_over(items)
+
+    def _hand_over(self, items):
+        """Call `on_item` for each of the items, and `on_applied` after them."""
+        for item in sorted(items, key=self.order):
+            try:
+                self.on_item(item)
+            except Exception as exc:
+                self._note_failed(item, exc)
+            else:
+                self._failed.pop(item.key, None)
+        self.on_applied()
+
+    def _note_failed(self, item, exc):
+        """Count an item that was not applied; log it unless its revision was logged."""
+        self.metrics.count("store.item_failed")
+        known = self._failed.get(item.key)
+        self._failed[item.key] = item
+        if known is None or known.revision != item.revision:
+            logs.warn(
+                "item_not_applied",
+                key=item.key[:200],
+                revision=item.revision,
+                is_deleted=item.value is None,
+                error=repr(exc)[:200],
+            )
+
+    def _with_failed(self, items):
+        """Return items with those that were not applied before and haven't changed."""
+        changed = {item.key for item in items}
+        return items + [x for key, x in self._failed.items() if key not in changed]
 
     def note_complete(self, revision):
         """Note that this copy has all changes up to a revision of the store."""
@@ -117,10 +154,13 @@
         """Apply deletions that were held back long enough."""
         items = replicas.expire(self.replica, self._now())
         if items:
-            self.on_items(items)
+            self._hand_over(items)
 
     async def run(self):
         """Follow the keys until cancelled."""
+        if self.replica.items or self._failed:
+            # An earlier run may have failed before it had handed them all over.
+            self._hand_over(self._with_failed(list(self.replica.items.values())))
         failures, has_watched = 0, False
         while True:
             try:
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -104,7 +104,11 @@
         self.exchange.is_home_in = self._is_home_in
         self.cluster.is_settling = self._is_settling
         ports.store.on_era = self.cluster.note_era
-        self.cluster.keys.on_items = self._apply_fleet_keys
+        self.cluster.keys.on_item = self._apply_fleet_key
+        # What the other keys mean depends on the mark.
+        self.cluster.keys.order = lambda item: item.key != ERA_KEY
+        self.cluster.keys.on_applied = self._log_members
+        self._members_added, self._members_gone = [], []
         self.cluster.keys.hold_s = _hold_s
         self.cluster.keys.batch_s = self._member_batch_s
         self.cluster.keys.is_served = self.cluster.is_served
@@ -137,23 +141,26 @@
 
     # The fleet's keys in the store
 
-    def _apply_fleet_keys(self, items):
-        """Apply changes of the keys that instances write to the store."""
-        added, gone = [], []
-        # What the other keys mean depends on the mark.
-        for item in sorted(items, key=lambda item: item.key != ERA_KEY):
-            if item.key == ERA_KEY:
-                self.cluster.apply_mark(item)
-            elif item.key == DUTY_KEY:
-                self.replacer.apply_duty(item)
-            elif item.key == DRAWN_KEY:
-                division.note_drawn(self.division, decode_drawn(item.value))
-            elif item.key.startswith(ROSTER_PREFIX):
-                self.replacer.apply_roster(item)
-            elif item.key.startswith(MEMBER_PREFIX):
-                if self.cluster.apply_member(item.key, item.value):
-                    changed = gone if item.value is None else added
-                    changed.append(item.key[len(MEMBER_PREFIX) :])
+    def _apply_fleet_key(self, item):
+        """Apply a change of a key that instances write to the store."""
+        if item.key == ERA_KEY:
+            self.cluster.apply_mark(item)
+        elif item.key == DUTY_KEY:
+            self.replacer.apply_duty(item)
+        elif item.key == DRAWN_KEY:
+            division.note_drawn(self.division, decode_drawn(item.value))
+        elif item.key.startswith(ROSTER_PREFIX):
+            self.replacer.apply_roster(item)
+        elif item.key.startswith(MEMBER_PREFIX):
+            if self.cluster.apply_member(item.key, item.value):
+                is_gone = item.value is None
+                changed = self._members_gone if is_gone else self._members_added
+                changed.append(item.key[len(MEMBER_PREFIX) :])
+
+    def _log_members(self):
+        """Log which instances have joined or gone since this was called last."""
+        added, gone = self._members_added, self._members_gone
+        self._members_added, self._members_gone = [], []
         if added or gone:
             logs.event(
                 "members",
--- a/test/test_directory.py
+++ b/test/test_directory.py
@@ -149,8 +149,8 @@
 
     def _apply(self, state, revision, sequence, is_leaving, born=1):
         entry = ("a", "g", "h", 1, "here", 2, is_leaving, False, born, sequence)
-        state._apply_entries(
-            [StoredItem("databases/a", json.dumps(entry).encode(), revision)]
+        state._apply_entry(
+            StoredItem("databases/a", json.dumps(entry).encode(), revision)
         )
 
     def test_a_leaving_database_stays_leaving(self, checked):
@@ -164,7 +164,7 @@
     def test_a_database_that_left_stays_away(self, checked):
         async def check(state, store):
             self._apply(state, Revision(1, 5), 7, True)
-            state._apply_entries([StoredItem("databases/a", None, Revision(1, 6))])
+            state._apply_entry(StoredItem("databases/a", None, Revision(1, 6)))
             self._apply(state, Revision(2, 4), 6, False)
             assert "a" not in state.groups.databases
             self._apply(state, Revision(2, 5), 1, False, born=2)
@@ -200,8 +200,7 @@
                 calls.append(key)
                 return [changed], store.revision
 
-            state._apply_entries = lambda items: None
-            state.entries.on_items = lambda items: None
+            state.entries.on_item = lambda item: None
             store.watch, store.revision = watch, Revision(1, 6)
             if told:
                 state.entries.apply(Changes(False, Revision(1, 6), [changed]))
--- a/test/test_following.py
+++ b/test/test_following.py
@@ -182,6 +182,70 @@
         assert calls == ["old list", "watch 3", "watch 3"]
 
 
+class TestFailingItems:
+    """RECOVER: a failure at one item of a list lost the items behind it for good."""
+
+    def item(self, name, value, revision):
+        return StoredItem(f"p/{name}", value, at(revision))
+
+    def follow(self, check, is_failing=lambda item: item.key == "p/b"):
+        applied, metrics = [], Metrics()
+
+        def apply(changed):
+            if is_failing(changed):
+                raise OverflowError("no such number")
+            applied.append(changed.key)
+
+        async def run():
+            listed = [self.item(x, b"1", 2) for x in "abc"]
+            store = ScriptedStore([(listed, at(5))] * 2, [])
+            await check(Follower(store, "p/", apply, metrics), applied, metrics)
+
+        run_on_simulated_clock(run())
+
+    def test_keep_no_other_item_from_being_applied(self):
+        async def check(follower, applied, metrics):
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(1.0)
+            assert applied == ["p/a", "p/c"] and not task.done()
+            assert metrics.counters["store.item_failed"] == 1
+            follower.apply(replicas.Changes(False, at(6), [self.item("d", b"1", 6)]))
+            assert applied == ["p/a", "p/c", "p/d"]
+            # Not again with each change: it would cost as much as all of them.
+            assert metrics.counters["store.item_failed"] == 1
+            task.cancel()
+
+        self.follow(check)
+
+    def test_are_applied_with_the_next_list_or_by_a_task_that_starts_again(self):
+        failing = {"p/b"}
+
+        async def check(follower, applied, metrics):
+            await follower.read_now()
+            failing.clear()
+            await follower.read_now()
+            assert applied == ["p/a", "p/c", "p/b"]
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(0.1)
+            assert applied[3:] == ["p/a", "p/b", "p/c"]
+            task.cancel()
+
+        self.follow(check, lambda changed: changed.key in failing)
+
+    def test_a_deletion_is_not_forgotten(self):
+        failing = {None}
+
+        async def check(follower, applied, metrics):
+            await follower.read_now()
+            follower.apply(replicas.Changes(False, at(6), [self.item("a", None, 6)]))
+            failing.clear()
+            applied.clear()
+            follower.apply(replicas.Changes(True, at(7), []))
+            assert sorted(applied) == ["p/a", "p/b", "p/c"]
+
+        self.follow(check, lambda changed: changed.value in failing)
+
+
 class TestRelayOfAnEarlierBuild:
     """A rolling upgrade: the relay's answers carry no changes of keys."""
 
