Decode the documents of other writers in one place

Others were decoded and failed where they were used: a port that no socket takes, a host that no resolver takes, a line break in a name, 2**62 slots.

`decoding.decode` reads JSON as a value of a stated type, with bounds on size, depth, numbers and names, and raises MalformedDocument and nothing else. It is used for configurations and entries of databases, for members, rosters, the duty, recorded orders and drawn workspaces, for statuses from other instances, and in the MySQL deployment for its configuration, its instances' entries and a group's record; one that couldn't be read kept that group without a primary for good. An order's fields are no longer converted from other types.

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -8,11 +8,12 @@
 import contextlib
 import json
 import random
-from typing import NamedTuple
+from typing import NamedTuple, NotRequired, TypedDict
 
-from dragonflywing import logs
+from dragonflywing import decoding, logs
 from dragonflywing.clock import boottime
 from dragonflywing.decisions import eras, membership, relays
+from dragonflywing.decoding import Count, MalformedDocument, Name, Port
 from dragonflywing.errors import StoreError
 from dragonflywing.following import Follower, retry_pause_s
 from dragonflywing.links import Link, LinkLost, pack
@@ -50,6 +51,16 @@
 LIVENESS_PERIOD_S = 0.1
 
 
+class MemberDocument(TypedDict):
+    """An instance's entry in the store; see Peer."""
+
+    data_centre: Name
+    host: str
+    port: Port
+    incarnation: Count
+    has_permits: NotRequired[bool]
+
+
 class Peer(NamedTuple):
     """Another instance, as registered in the store.
 
@@ -212,16 +223,12 @@
             self._forget_member(instance)
             return True
         try:
-            entry = json.loads(value)
+            entry = decoding.decode(value, MemberDocument)
+            decoding.check_name(instance)
             peer = Peer(
-                instance,
-                entry["data_centre"],
-                entry["host"],
-                entry["port"],
-                entry["incarnation"],
-                bool(entry.get("has_permits")),
+                instance, **entry | {"host": decoding.check_host(entry["host"])}
             )
-        except (ValueError, KeyError, TypeError):
+        except MalformedDocument:
             self.metrics.count("refused.bad_member")
             logs.warn("bad_member", instance=instance)
             return False
--- a/dragonflywing/configuration.py
+++ b/dragonflywing/configuration.py
@@ -1,11 +1,12 @@
 """The operators' configuration: workspaces, groups, routes and limits."""
 
 import re
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 
-from dragonflywing import typed
+from dragonflywing import decoding, typed
+from dragonflywing.decoding import MalformedDocument
 from dragonflywing.errors import UserError
 
 MAX_BYTES = 1_000_000
@@ -235,8 +236,8 @@
     if len(data) > MAX_BYTES:
         raise UserError(f"configuration has {len(data)} bytes, at most {MAX_BYTES}")
     try:
-        value = msgspec.json.decode(data)
-    except msgspec.DecodeError as exc:
+        value = decoding.decode(data, Any)
+    except MalformedDocument as exc:
         raise UserError(f"configuration is not JSON: {exc}") from None
     return check(typed.convert(value, Configuration))
 
--- a/dragonflywing/decisions/orders.py
+++ b/dragonflywing/decisions/orders.py
@@ -7,7 +7,7 @@
 a later holder of the duty.
 """
 
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 from dragonflywing.decisions.positions import Position
 
@@ -28,6 +28,15 @@
     may_repeat: bool = False
 
 
+class OrderDocument(TypedDict, total=False):
+    """The document of an Order; without fields if there is none."""
+
+    database: str
+    term: int
+    base: tuple[int, int]
+    may_repeat: bool
+
+
 class Sent(NamedTuple):
     """When orders for a database may have been sent first and last."""
 
@@ -118,13 +127,13 @@
 def decode(document):
     """Return the Order in a document, None if it is empty.
 
-    Raises LookupError, TypeError or ValueError if it is malformed.
+    `document` is an OrderDocument. Raises LookupError if a field is missing.
     """
     if not document:
         return None
     return Order(
-        str(document["database"]),
-        int(document["term"]),
-        Position(*map(int, document["base"])),
-        bool(document["may_repeat"]),
+        document["database"],
+        document["term"],
+        Position(*document["base"]),
+        document["may_repeat"],
     )
--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -8,17 +8,17 @@
 """
 
 import asyncio
-import json
 import math
 import random
 import zlib
 
-from dragonflywing import logs
+from dragonflywing import decoding, logs
 from dragonflywing.clock import boottime
 from dragonflywing.decisions import eras, evacuation
 from dragonflywing.decisions.eras import ABSENT
 from dragonflywing.decisions.relays import Role
 from dragonflywing.decisions.replicas import RESTORE_S
+from dragonflywing.decoding import MalformedDocument
 from dragonflywing.errors import HistoryLost, StoreError, UserError
 from dragonflywing.following import Follower
 from dragonflywing.links import LinkLost, idl, pack, unpack
@@ -47,9 +47,10 @@
 
 def _is_json_object(data):
     try:
-        return isinstance(json.loads(data), dict)
-    except (ValueError, RecursionError):
+        decoding.decode(data, dict)
+    except MalformedDocument:
         return False
+    return True
 
 
 class Directory:
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -8,7 +8,7 @@
 import json
 import signal
 
-from dragonflywing import gauges, logs, supervisor
+from dragonflywing import decoding, gauges, logs, supervisor
 from dragonflywing.acknowledgements import Acknowledgements
 from dragonflywing.clock import boottime
 from dragonflywing.cluster import (
@@ -22,6 +22,7 @@
 from dragonflywing.connection_pool import max_connections_for
 from dragonflywing.decisions import division, floors, regions, stopping
 from dragonflywing.decisions.relays import Role
+from dragonflywing.decoding import MalformedDocument
 from dragonflywing.directory import Directory
 from dragonflywing.errors import StoreError, UserError
 from dragonflywing.exchange import Exchange
@@ -63,10 +64,9 @@
 def decode_drawn(value):
     """Return the names of the workspaces that are recorded as drawn."""
     try:
-        names = json.loads(value or b"[]")
-    except ValueError:
-        names = []
-    return {x for x in names if isinstance(x, str)} if isinstance(names, list) else ()
+        return set(decoding.decode(value or b"[]", list[str]))
+    except MalformedDocument:
+        return set()
 
 
 def _hold_s(key):
--- a/dragonflywing/operations.py
+++ b/dragonflywing/operations.py
@@ -1,13 +1,13 @@
 """Operator actions: apply configurations, change keys, drain databases, get reports."""
 
 import asyncio
-import json
 import random
 import secrets
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
-from dragonflywing import configuration
+from dragonflywing import configuration, decoding
 from dragonflywing.configuration import Key, merge_keys
+from dragonflywing.decoding import MalformedDocument
 from dragonflywing.errors import UserError
 from dragonflywing.identity import key_hash
 from dragonflywing.peers import PeerClient
@@ -19,6 +19,12 @@
 REPORT_POLL_S = 0.1
 
 
+class InstanceDocument(TypedDict):
+    """An instance's entry in the store."""
+
+    peer_address: str
+
+
 class OpsSettings(NamedTuple):
     """Settings of dfw-ops: the URLs of the store and the secret of the instances."""
 
@@ -153,17 +159,22 @@
 async def fetch_reports(cfg, store):
     """Return {instance: report} of all registered instances.
 
-    The report of an instance that does not respond is None.
+    The report of an instance that does not respond is None, as is that of one whose
+    entry or report can't be read.
     """
     entries, _ = await store.get_prefix(INSTANCE_PREFIX)
 
     async def fetch(entry):
         name = entry.key.removeprefix(INSTANCE_PREFIX)
-        address = json.loads(entry.value)["peer_address"]
-        client = PeerClient(cfg.addresses.get(name, address), cfg.peer_secret)
-        report = await client.call("report")
-        client.close()
-        return name, json.loads(report.json) if report else None
+        try:
+            address = decoding.decode(entry.value, InstanceDocument)["peer_address"]
+            decoding.parse_address(address)
+            client = PeerClient(cfg.addresses.get(name, address), cfg.peer_secret)
+            report = await client.call("report")
+            client.close()
+            return name, decoding.decode(report.json, dict) if report else None
+        except MalformedDocument:
+            return name, None
 
     return dict(await asyncio.gather(*[fetch(entry) for entry in entries]))
 
--- a/dragonflywing/order_records.py
+++ b/dragonflywing/order_records.py
@@ -6,10 +6,11 @@
 import asyncio
 import json
 
-from dragonflywing import logs
+from dragonflywing import decoding, logs
 from dragonflywing.clock import boottime
 from dragonflywing.decisions import orders
 from dragonflywing.decisions.eras import ABSENT
+from dragonflywing.decoding import MalformedDocument
 from dragonflywing.errors import StoreError
 
 ORDER_PREFIX = "dfw/orders/"
@@ -43,8 +44,8 @@
             group = item.key[len(ORDER_PREFIX) :]
             self._revisions[group] = item.revision
             try:
-                order = orders.decode(json.loads(item.value))
-            except (LookupError, TypeError, ValueError):
+                order = orders.decode(decoding.decode(item.value, orders.OrderDocument))
+            except (LookupError, MalformedDocument):
                 self.metrics.count("refused.bad_order")
                 logs.warn("bad_order", group=group)
                 continue
--- a/dragonflywing/promoter.py
+++ b/dragonflywing/promoter.py
@@ -3,10 +3,12 @@
 import asyncio
 import json
 import random
+from typing import NotRequired, TypedDict
 
-from dragonflywing import logs
+from dragonflywing import decoding, logs
 from dragonflywing.decisions import failover, membership
 from dragonflywing.decisions.positions import majority
+from dragonflywing.decoding import Count, MalformedDocument
 from dragonflywing.errors import StoreError
 from dragonflywing.store import retry_until_known
 from dragonflywing.supervisor import spawn
@@ -31,6 +33,13 @@
 POSITION_WAIT_MS = 15
 
 
+class RecordDocument(TypedDict):
+    """A group's record in the store; `id` names the claim of its term."""
+
+    term: Count
+    id: NotRequired[str]
+
+
 class Promoter:
     """Replaces the primary of one group when this instance suspects it."""
 
@@ -120,7 +129,7 @@
         """
         key = RECORD_PREFIX + self.name
         kv = await self.store.get(key)
-        record = json.loads(kv.value) if kv else {"term": 0}
+        record = self._decode_record(kv)
         if record["term"] > self.group.term and self._is_recent(record):
             # Another instance has claimed a newer term and is still promoting or has
             # finished. In case it has failed, its claim expires.
@@ -135,13 +144,25 @@
 
         async def check():
             current = await self.store.get(key)
-            return bool(current) and json.loads(current.value).get("id") == claim_id
+            return self._decode_record(current).get("id") == claim_id
 
         won = await retry_until_known(
             lambda: self.store.swap(key, value, revision), check, attempts=2
         )
         return term if won else None
 
+    def _decode_record(self, kv):
+        """Return the RecordDocument of the group, with term 0 if there is none.
+
+        One that can't be read counts as none, or no promotion could replace it.
+        """
+        try:
+            return decoding.decode(kv.value, RecordDocument) if kv else {"term": 0}
+        except MalformedDocument as exc:
+            self.metrics.count("refused.bad_record")
+            logs.warn("bad_record", group=self.name, error=str(exc)[:200])
+            return {"term": 0}
+
     def _is_recent(self, record):
         """Return whether a record was first read within `promote_timeout_s`."""
         now = self._now()
@@ -235,7 +256,7 @@
         key = RECORD_PREFIX + self.name
         try:
             kv = await self.store.get(key)
-            if kv and json.loads(kv.value)["term"] == step.term:
+            if kv and self._decode_record(kv)["term"] == step.term:
                 record = {"term": step.term, "primary": step.primary, "state": "active"}
                 await self.store.swap(key, json.dumps(record), kv.mod_revision)
         except StoreError:
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -10,7 +10,7 @@
 import json
 import random
 
-from dragonflywing import logs
+from dragonflywing import decoding, logs
 from dragonflywing.clock import boottime
 from dragonflywing.decisions import (
     eras,
@@ -23,6 +23,7 @@
 from dragonflywing.decisions.eras import ABSENT
 from dragonflywing.decisions.positions import ZERO, confirmed_primary
 from dragonflywing.decisions.relays import Role
+from dragonflywing.decoding import Count, MalformedDocument
 from dragonflywing.errors import StoreError
 from dragonflywing.granting import Granting
 from dragonflywing.groups import as_vote
@@ -165,8 +166,10 @@
         is_stored = item.value is not None
         self._roster_revisions[group] = item.revision if is_stored else ABSENT
         try:
-            start_times = dict(json.loads(item.value)) if item.value is not None else {}
-        except (ValueError, TypeError):
+            start_times = (
+                decoding.decode(item.value, dict[str, Count]) if is_stored else {}
+            )
+        except MalformedDocument:
             self.metrics.count("refused.bad_roster")
             logs.warn("bad_roster", group=group)
             return
@@ -300,7 +303,7 @@
     def holder(self):
         """Return the name of the instance that holds the duty, None if none does."""
         item = self._duty_item
-        return item.value.decode().split("/")[0] if item is not None else None
+        return decoding.decode_text(item.value).split("/")[0] if item else None
 
     def _acquire_delay_s(self):
         """Return how long to leave the duty to the instances of a lower rank.
--- a/dragonflywing/router.py
+++ b/dragonflywing/router.py
@@ -4,9 +4,10 @@
 import json
 import random
 
-from dragonflywing import logs, outcomes
+from dragonflywing import decoding, logs, outcomes
 from dragonflywing.decisions import contention, placing, retries, stopping
 from dragonflywing.decisions.positions import Position
+from dragonflywing.decoding import MalformedDocument
 from dragonflywing.links import LinkLost, idl, pack, unpack
 from dragonflywing.ports import Answer, DatabaseStatus
 from dragonflywing.supervisor import spawn
@@ -136,7 +137,12 @@
         except LinkLost:
             self.metrics.count("link.command_failed")
             return None
-        return unpack_status(body)
+        try:
+            return unpack_status(body)
+        except MalformedDocument as exc:
+            self.metrics.count("refused.bad_status")
+            logs.warn("bad_status", instance=instance, error=str(exc)[:200])
+            return None
 
     async def status_of(self, database):
         """Return the DatabaseStatus of a database, None if it can't be reached."""
@@ -574,9 +580,5 @@
 
 
 def unpack_status(body):
-    """Return the DatabaseStatus in bytes, or None."""
-    fields = json.loads(body)
-    if fields is None:
-        return None
-    status = DatabaseStatus(*fields)
-    return status._replace(received=Position(*status.received))
+    """Return the DatabaseStatus in bytes, or None; may raise MalformedDocument."""
+    return decoding.decode(body, DatabaseStatus | None)
