Count a commit by databases of the roster

A database acknowledges with any replica that receives, also one without an entry or one that has just joined. A replacement counts the roster. A permit said which primary may acknowledge and nothing of who had received, so that a commit could be told that no database of the roster but the primary held.

A permit now names the voters, databases of the roster, and an instance tells a caller of a commit once more than `sync_replicas` of them have it, by STATUS. The voters are always among the recorded roster and the next one: it grows before them, and shrinks once all instances have confirmed a permit without the database, or the earlier ones have lapsed, and enough others hold what the primary had after that. Rosters are written on condition that the duty is held. Why this works: a replacement needs all but `sync_replicas` of the roster, so each quorum of it has a database with the commit.

The model kept databases outside the roster listed, reachable and from receiving otherwise; these exclusions are gone. An AttributeError that ended a hand-over run without a leader is a check with a line of its own now, after 20 s.

--- a/dragonflywing/decisions/permits.py
+++ b/dragonflywing/decisions/permits.py
@@ -12,6 +12,13 @@
 caller is told of a commit after the positions were read that the choice rests on,
 until the promoted database is permitted.
 
+Databases acknowledge a commit of which a replacement might not know: one that is no
+longer listed, or that has just joined, receives it too. So a permit names the voters,
+databases of the group's roster, and covers only commits that enough of them have
+received. A replacement counts the roster, so each of its quorums includes one of these.
+The holder takes a database out of the roster only once no instance counts it any more,
+and enough others have received all that its primary held then.
+
 Without a permit, as while the store is away, a commit is confirmed by the databases
 themselves: enough replicas of the roster hold it, and none has been paused. A replica
 that has restarted may have forgotten a pause, so only an answer over a connection
@@ -45,12 +52,15 @@
 class Leader(NamedTuple):
     """A permitted primary and its term.
 
-    Its log holds the commits of the term before it up to `base`.
+    Its log holds the commits of the term before it up to `base`. Of its commits those
+    are permitted that enough of the `voters` have received, with itself if it is one;
+    all if that is None, as with a holder of an earlier build.
     """
 
     database: str
     term: int
     base: Position = ZERO
+    voters: frozenset | None = None
 
 
 class Verdict(enum.Enum):
@@ -129,6 +139,29 @@
     return Verdict.PERMITTED if is_kept else Verdict.REPLACED
 
 
+def is_held(leader, position, received, sync_replicas):
+    """Return whether enough voters hold a commit that a permit for `leader` covers.
+
+    `received` maps replicas to positions that they have reported.
+    """
+    if leader.voters is None or not sync_replicas:
+        return True
+    holders = {
+        name
+        for name in leader.voters - {leader.database}
+        if name in received and _includes(received[name], position, leader)
+    }
+    return len(holders) + (leader.database in leader.voters) > sync_replicas
+
+
+def _includes(received, position, leader):
+    """Return whether a log that ends at `received` includes a permitted commit."""
+    if received.term == position.term:
+        return received >= position
+    # A replica that has received from the leader holds all that the leader began with.
+    return received.term == leader.term > position.term
+
+
 class Witness(NamedTuple):
     """A database's status as evidence of a commit.
 
@@ -172,6 +205,8 @@
     `lapses_at` maps instances to when the permits end that they received from this
     one. In a large fleet they may pass them on in their data centre, which `places`
     holds for each. All that were given by earlier holders end at `earlier_lapse_at`.
+    `excluded` maps (group, database) to the Revocation of the permits by which a
+    database counted as a voter that is none any more.
     """
 
     def __init__(self, token, now):
@@ -179,6 +214,7 @@
         self.leaders = {}
         self.lapses_at = {}
         self.places = {}
+        self.excluded = {}
         self.earlier_lapse_at = now + RELAYED_PERMIT_S
 
 
@@ -187,6 +223,8 @@
     if state.leaders.get(group) == leader:
         return False
     state.leaders[group] = leader
+    for name in leader.voters or ():
+        state.excluded.pop((group, name), None)
     state.version = state.version._replace(number=state.version.number + 1)
     return True
 
@@ -197,6 +235,32 @@
     state.version = state.version._replace(number=state.version.number + 1)
 
 
+def exclude(state, group, databases, data_centres, now):
+    """Begin to exclude those databases of a group that its permit has not as voters.
+
+    Of others the exclusion ends. Return the new Revocations, which say when no instance
+    counts the databases any more.
+    """
+    leader, begun = state.leaders.get(group), []
+    for key in [x for x in state.excluded if x[0] == group and x[1] not in databases]:
+        del state.excluded[key]
+    for name in databases:
+        is_voter = leader and (leader.voters is None or name in leader.voters)
+        if not is_voter and (group, name) not in state.excluded:
+            begun.append(Revocation(state, data_centres, now))
+            state.excluded[group, name] = begun[-1]
+    return begun
+
+
+def excluded(state, group, now):
+    """Return the databases of a group that no instance counts as voters any more."""
+    return {
+        name
+        for (item, name), revocation in state.excluded.items()
+        if item == group and revocation.wait_s(now) <= 0
+    }
+
+
 def note_given(state, now, instance, data_centre=None):
     """Note that an instance is given permits now; return for how many seconds.
 
--- a/dragonflywing/decisions/rosters.py
+++ b/dragonflywing/decisions/rosters.py
@@ -4,15 +4,15 @@
 that no other one has, and an instance can start while that database is unlisted.
 A quorum counted from the listed databases alone would then be too small. The
 roster is therefore kept in the store. An unlisted database is removed from it
-only once enough listed databases have stored everything that the primary held
-after that database became unlisted.
+only once no instance counts it for a commit any more (see `permits`), and enough
+listed databases have stored everything that the primary held after that.
 """
 
 
 class RosterState:
-    """The position of the primary after each database became unlisted.
+    """The position of the primary after each unlisted database was excluded.
 
-    `required` maps the name of each unlisted database to the position that enough
+    `required` maps the name of each such database to the position that enough
     listed databases must have stored before it may be removed from the roster.
     """
 
@@ -31,14 +31,15 @@
     return min(quorum, sync_replicas + 1) if answered == listed else quorum
 
 
-def compute_roster(state, recorded, listed, primary, received, sync_replicas):
+def compute_roster(state, recorded, listed, primary, received, sync_replicas, excluded):
     """Return the names of the databases that the roster should contain.
 
     `primary` is the name of the primary that a quorum of the roster has just
     confirmed, or None. `received` maps the databases that answered to their
-    positions; each was listed when it was queried.
+    positions; each was listed when it was queried. Before that, no instance counted
+    the `excluded` databases any more.
     """
-    unlisted = recorded - listed
+    unlisted = (recorded - listed) & excluded
     for name in state.required.keys() - unlisted:
         del state.required[name]
     if primary is None:
@@ -48,11 +49,12 @@
         return recorded
     for name in unlisted:
         state.required.setdefault(name, received[primary])
-    return listed | {
+    replaced = {
         name
         for name in unlisted
-        if not _is_held_by_quorum(received, state.required[name], sync_replicas)
+        if _is_held_by_quorum(received, state.required[name], sync_replicas)
     }
+    return (recorded | listed) - replaced
 
 
 def roster_after_promotion(recorded, listed, received, base, sync_replicas):
--- a/dragonflywing/granting.py
+++ b/dragonflywing/granting.py
@@ -82,12 +82,40 @@
             term=leader.term,
             base_term=leader.base.term,
             base_index=leader.base.index,
+            voters=logs.join(leader.voters or ()),
         )
         self.renew_own()
-        body = pack(pack_permits(self.state.version, self.state.leaders))
+        body = self._pack()
         for instance in list(self.cluster.peers):
             spawn(self._tasks, self._tell(instance, body, REVOKE_TIMEOUT_S))
 
+    def _pack(self):
+        """Return the present permits for a call that revises earlier ones."""
+        return pack(pack_permits(self.state.version, self.state.leaders))
+
+    def exclude(self, group, databases):
+        """Tell all instances which databases of a group count for no commit any more.
+
+        Those that are voters in the group's permit still do.
+        """
+        if self.state is None:
+            return
+        now = boottime()
+        begun = permits.exclude(self.state, group, databases, self._data_centres(), now)
+        if not begun:
+            return
+        self.renew_own()
+        for revocation in begun:
+            revocation.confirm(self.settings.instance, now, self._left_s())
+            spawn(self._tasks, self._await(revocation, self._pack()))
+
+    def excluded(self, group):
+        """Return the databases of a group that no instance counts any more."""
+        return permits.excluded(self.state, group, boottime()) if self.state else set()
+
+    def _data_centres(self):
+        return {x.instance: x.data_centre for x in self.cluster.peers.values()}
+
     def withdraw(self, group):
         """Permit no primary of a group any longer; permits that were given lapse."""
         if self.leader(group) is not None:
@@ -115,14 +143,9 @@
         state, started_at = self.state, boottime()
         permits.withdraw(state, group)
         self.renew_own()
-        body = pack(pack_permits(state.version, state.leaders))
-        data_centres = {x.instance: x.data_centre for x in self.cluster.peers.values()}
-        revocation = permits.Revocation(state, data_centres, started_at)
+        revocation = permits.Revocation(state, self._data_centres(), started_at)
         revocation.confirm(self.settings.instance, started_at, self._left_s())
-        while revocation.wait_s(boottime()) > 0:
-            await self._tell_pending(revocation, body)
-            left_s = revocation.wait_s(boottime())
-            await asyncio.sleep(min(REVOKE_RETRY_S, max(0.0, left_s)))
+        await self._await(revocation, pack(pack_permits(state.version, state.leaders)))
         logs.event(
             "permits_revoked",
             group=group,
@@ -132,6 +155,13 @@
             lapsed=logs.join(revocation.pending),
         )
 
+    async def _await(self, revocation, body):
+        """Return once no instance relies on revoked permits any more."""
+        while revocation.wait_s(boottime()) > 0:
+            await self._tell_pending(revocation, body)
+            left_s = revocation.wait_s(boottime())
+            await asyncio.sleep(min(REVOKE_RETRY_S, max(0.0, left_s)))
+
     async def _tell_pending(self, revocation, body):
         """Tell the instances that have not confirmed yet, until none has a permit."""
         calls = {
--- a/dragonflywing/link.thrift
+++ b/dragonflywing/link.thrift
@@ -74,6 +74,8 @@
   2: i64 term,
   3: i64 base_term,                 // its log holds the commits of this earlier term
   4: i64 base_index,                // up to this one
+  // The databases that count for a commit; left out by an earlier build, for all.
+  5: optional list<string> voters,
 }
 
 // The permitted primaries as of a version. The primaries are left out if the asker
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -91,6 +91,7 @@
         self.router = Router(*shared_args)
         self.groups.status_of = self.router.status_of
         self.acknowledgements = Acknowledgements(self.groups, metrics)
+        self.acknowledgements.data_centre = settings.data_centre
         self.division = division.DivisionState()
         self.pacing = Pacing(
             settings, self.groups, self.cluster, self.division, self.router.paces.get
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -404,6 +404,7 @@
         if self._is_healthy(group, health):
             return
         health.asked_at, token = now, self.token
+        excluded = self.granting.excluded(group)
         statuses = dict(
             zip(
                 [item.name for item in members],
@@ -413,12 +414,14 @@
         )
         reachable = {name: status for name, status in statuses.items() if status}
         confirmed = self._confirm_primary(group, set(statuses), reachable)
-        await self._update_roster(group, set(statuses), reachable, confirmed)
+        await self._update_roster(group, set(statuses), reachable, confirmed, excluded)
         if token != self.token:
             return  # another holder may have replaced the primary meanwhile
         if await self._finish_order(group):
             return
         self._update_permit(group, confirmed, reachable)
+        roster = self.groups.rosters.get(group, {}).keys()
+        self.granting.exclude(group, roster - statuses.keys())
         if self.granting.leader(group) is not None:
             await self.order_records.settle(group)
         primaries = [n for n, status in reachable.items() if status.is_primary]
@@ -487,13 +490,26 @@
             self.granting.withdraw(group)
             return
         known = self.granting.leader(group)
-        if known is None or known[:2] != (primary.database, primary.term):
+        if known is not None and known[:2] == (primary.database, primary.term):
+            base = known.base
+        else:
             order = self.order_records.get(group)
             is_ordered = order is not None and order.database == primary.database
             base = order.base if is_ordered and order.term < primary.term else ZERO
-            self.granting.permit(
-                group, permits.Leader(primary.database, primary.term, base)
-            )
+        voters = self._voters(group, roster.keys())
+        self.granting.permit(
+            group, permits.Leader(primary.database, primary.term, base, voters)
+        )
+
+    def _voters(self, group, roster):
+        """Return the databases of a roster that count for commits.
+
+        They are listed, so that a replacement asks them, and have not lost their data.
+        Without a roster, a replacement counts those that are listed.
+        """
+        listed = {item.name for item in self.groups.members(group)}
+        roster = roster or self.groups.quorum_names(group)
+        return frozenset((roster & listed) - self.groups.reborn)
 
     async def _finish_order(self, group):
         """Complete an order that has had no effect; return whether there is one.
@@ -507,8 +523,11 @@
             await self._replace(group, "unfinished")
         return True
 
-    async def _update_roster(self, group, listed, reachable, primary):
-        """Compute the group's roster and write it to the store if it has changed."""
+    async def _update_roster(self, group, listed, reachable, primary, excluded):
+        """Compute the group's roster and write it to the store if it has changed.
+
+        The `excluded` databases had counted for no commit when the others were asked.
+        """
         recorded = self.groups.rosters.get(group, {})
         trusted = self._trusted(reachable)
         sync_replicas = self.groups.sync_replicas(group)
@@ -521,6 +540,7 @@
             primary.database if primary else None,
             {name: status.received for name, status in trusted.items()},
             sync_replicas,
+            excluded,
         )
         await self._write_roster(group, names)
 
@@ -540,7 +560,13 @@
         revision = self._roster_revisions.get(group, ABSENT)
         value = json.dumps(start_times).encode()
         try:
-            written = await self.store.swap(ROSTER_PREFIX + group, value, revision)
+            # A roster of a former holder must not replace that of a later one.
+            written = await self.store.swap(
+                ROSTER_PREFIX + group,
+                value,
+                revision,
+                guard=(DUTY_KEY, self.claimed),
+            )
         except StoreError as exc:
             # If it was written after all, the watch reports it.
             self.metrics.count("roster.store_failed")
@@ -698,7 +724,7 @@
             terms = [*_terms(statuses), *(item.term for item in paused)]
             known_term = max([self.groups.state(group).term, *terms])
             outcome = await self._promote(
-                group, chosen, known_term, term, token, base, paused_at
+                group, chosen, known_term, term, token, base, paused_at, paused
             )
         elif earlier is not None:
             logs.event("order_awaited", group=group, database=earlier.database)
@@ -707,14 +733,6 @@
         if outcome is not PromotionOutcome.DONE:
             return
         self._health.pop(group, None)
-        names = rosters.roster_after_promotion(
-            self.groups.rosters.get(group, {}).keys(),
-            {item.name for item in self.groups.members(group)},
-            {item.database: item.received for item in paused},
-            base,
-            self.groups.sync_replicas(group),
-        )
-        await self._write_roster(group, names)
 
     async def _read_members(self, group):
         """Return a group's databases as they are listed in the store now.
@@ -848,7 +866,9 @@
         )
         return common is None or database.data_centre in common
 
-    async def _promote(self, group, database, known_term, term, token, base, paused_at):
+    async def _promote(
+        self, group, database, known_term, term, token, base, paused_at, paused
+    ):
         """Order a promotion with the token that was held when its group was paused.
 
         What was learned under another token may be out of date. `known_term` is the
@@ -909,11 +929,32 @@
         if promoted is None or token != self.token:
             return PromotionOutcome.UNKNOWN
         # It may have been born again, without its log.
-        base = base if promoted.received >= base else ZERO
-        self.granting.permit(group, permits.Leader(database, promoted.term, base))
-        await self.order_records.settle(group)
+        is_whole = promoted.received >= base
+        await self._note_promoted(
+            group, database, promoted.term, base, is_whole, paused
+        )
         return PromotionOutcome.DONE
 
+    async def _note_promoted(self, group, database, term, base, is_whole, paused):
+        """Permit a database that was promoted, and write the roster that follows.
+
+        `is_whole` says that it still holds its log up to `base`. Until the roster is
+        written, a replacement may count the recorded one.
+        """
+        recorded = self.groups.rosters.get(group, {}).keys()
+        names = rosters.roster_after_promotion(
+            recorded,
+            {item.name for item in self.groups.members(group)},
+            {item.database: item.received for item in paused},
+            base,
+            self.groups.sync_replicas(group),
+        )
+        voters = self._voters(group, recorded & names)
+        leader = permits.Leader(database, term, base if is_whole else ZERO, voters)
+        self.granting.permit(group, leader)
+        await self.order_records.settle(group)
+        await self._write_roster(group, names)
+
     def _order_result(self, group, order):
         """Return the status of an order that has ended, and whether it may take effect.
 
--- a/dragonflywing/standin/replacement_model.py
+++ b/dragonflywing/standin/replacement_model.py
@@ -3,6 +3,9 @@
 The decisions of a replacement run over a model of the group. Not part of it: reads and
 their fences, failures of the store, relays, databases that are started again under
 their name, and the order of pauses in an evacuation.
+
+Any database may be unlisted, out of reach or receive nothing while it runs, also one
+that has just joined and that no instance knows.
 """
 
 from dragonflywing.control import STATUS_TIMEOUT_S
@@ -41,6 +44,8 @@
         self.witnesses = []
         self.trusted_before = 0.0
         self.asked_at = 0.0
+        # The positions that replicas have reported.
+        self.received = {}
 
     def note_primary(self, name, term):
         if term > self.term:
@@ -94,11 +99,12 @@
 class ReplacementModel:
     """A group, two instances and the replacements of its primary.
 
-    `told` holds the positions of the commits that callers were told of; `has_permits`
-    and `has_records` switch parts of the protocol off.
+    `told` holds the positions of the commits that callers were told of; `has_permits`,
+    `has_voters` and `has_records` switch parts of the protocol off.
     """
 
     has_permits = True
+    has_voters = True
     has_records = True
 
     def __init__(self):
@@ -130,11 +136,24 @@
                 assert holds, f"{name} lacks {position}"
 
     def note_progress(self, ordered):
-        """Guide the search to orders that are late for what callers were told of."""
+        """Guide the search to what may lose a commit that callers were told of.
+
+        That is an order that is late, or a quorum without the commit.
+        """
         term = self.group.term
         is_told = term > 1 and any(position.term == term for position in self.told)
         score = 2 * min(term, 3) + 3 * is_told + 2 * bool(ordered)
-        self.progress = max(self.progress, score + 4 * (is_told and bool(ordered)))
+        score += 4 * (is_told and bool(ordered))
+        self.progress = max(self.progress, score, self.quorum_without())
+
+    def quorum_without(self):
+        """Return how near the counted databases are to a quorum that lacks a commit."""
+        names, running = self.voters(), self.running()
+        lacking = [
+            sum(n in running and not self.group.databases[n].holds(x) for n in names)
+            for x in self.told
+        ]
+        return 10 * max(lacking, default=0) / self.quorum()
 
     # The platform
 
@@ -151,30 +170,15 @@
     def reaches(self, one, other):
         return group_model.reaches(self.group, one, other)
 
-    def new(self):
-        """Return the names of the listed databases that aren't in the roster yet.
-
-        A known gap: while all of the roster's replicas lag, one acknowledges that is
-        never listed or never reached. So new ones stay listed and reachable.
-        """
-        return self.listed() - self.roster
-
-    def is_unknown(self, name):
-        """Return whether the holder can't know of what a database acknowledges."""
-        if name in self.roster:
-            return False
-        parties = [self.reaches(name, x) for x in INSTANCES]
-        return name in self.unlisted or not all(parties)
-
     def cut_off(self, one, other):
-        if one != other and not {one, other} & self.new():
+        if one != other:
             self.group.broken.add(frozenset((one, other)))
 
     def partition(self, side):
         """Let some of the parties reach none of the others."""
         for one in side:
             for other in self.running() | set(INSTANCES):
-                if other not in side and not {one, other} & self.new():
+                if other not in side:
                     self.group.broken.add(frozenset((one, other)))
 
     def reconnect(self, name):
@@ -199,14 +203,12 @@
         self.hold(group_model.join(self.group, "d", primary, self.now))
 
     def lose(self, name):
-        if name not in self.new():
-            self.lost += 1
-            group_model.lose(self.group, name)
+        self.lost += 1
+        group_model.lose(self.group, name)
 
     def change_list(self, name):
         """Let the platform no longer list a database, or list it again."""
-        if name not in self.new():
-            self.unlisted ^= {name}
+        self.unlisted ^= {name}
 
     def take_effect(self):
         """Let the earliest order take effect; a late one never does."""
@@ -225,8 +227,6 @@
             self.receive(primary, name)
 
     def receive(self, primary, replica):
-        if primary == self.group.leader and self.is_unknown(replica):
-            return
         if group_model.may_receive(self.group, primary, replica):
             self.hold(group_model.receive(self.group, primary, replica))
 
@@ -247,6 +247,8 @@
         """Tell callers of the commits that their instances' permits cover."""
         for instance, item in list(self.held):
             verdict = self.judge(instance, item)
+            if verdict is Verdict.PERMITTED and not self.is_held(instance, item):
+                continue
             if verdict is Verdict.PERMITTED:
                 self.told.append(item.position)
             # A round of queries that is under way may still confirm it.
@@ -263,6 +265,25 @@
         state = self.instances[instance].permits
         return permits.judge(state, self.now, G, item.database, item.position)
 
+    def is_held(self, instance, item):
+        """Return whether enough voters are known to hold a permitted commit."""
+        asker = self.instances[instance]
+        leader = asker.permits.leaders.get(G)
+        if not self.has_voters or leader is None:
+            return True
+        return permits.is_held(leader, item.position, asker.received, SYNC_REPLICAS)
+
+    def ask_voters(self, instance):
+        """Query what the voters have received, if an instance awaits it."""
+        asker = self.instances[instance]
+        leader = asker.permits.leaders.get(G)
+        if leader is None or leader.voters is None:
+            return
+        for name in leader.voters:
+            item = self.group.databases[name]
+            if self.reaches(instance, name) and not item.is_primary:
+                asker.received[name] = item.received
+
     def ask_databases(self, instance):
         """Query the roster's databases; the round may last until a time-out."""
         asker = self.instances[instance]
@@ -417,6 +438,7 @@
     def check(self):
         """Check the group as the holder does every now and then."""
         holder, listed = self.holder, self.listed()
+        excluded = self.excluded(listed)
         reached = self.statuses(listed)
         votes = [
             Status(n, is_primary, max(term, promised), received, received, False, 0)
@@ -428,11 +450,13 @@
         primary = confirmed_primary(votes, len(listed), needed)
         if primary is not None and primary.term < self.own.term:
             primary = None
-        self.update_roster(listed, reached, primary)
+        self.update_roster(listed, reached, primary, excluded)
         if self.has_records and self.finish_order():
             return
         if primary is not None and self.has_permits:
             self.update_permit(primary, reached)
+        if self.has_voters:
+            self.exclude(self.roster - listed)
         if G in holder.grants.leaders:
             self.settle_order()
         leading = [term for is_primary, term, _, _ in reached.values() if is_primary]
@@ -440,7 +464,29 @@
             forgotten = [n for n, x in reached.items() if x[2] > max(leading)]
             self.resume(forgotten)
 
-    def update_roster(self, listed, reached, primary):
+    def excluded(self, listed):
+        """Return the databases that no instance counts for a commit any more."""
+        if not self.has_voters:
+            return self.roster - listed
+        return permits.excluded(self.holder.grants, G, self.now)
+
+    def exclude(self, names):
+        """Tell the instances that databases are no voters any more."""
+        data_centres = dict.fromkeys(INSTANCES, "dc")
+        grants = self.holder.grants
+        permits.exclude(grants, G, names, data_centres, self.now)
+        for name in INSTANCES:
+            is_told = self.tell_permits(name)
+            if is_told or name == self.holder.name:
+                self.renew_own()
+                for revocation in grants.excluded.values():
+                    revocation.confirm(name, self.now, {})
+
+    def voters_of(self, roster):
+        """Return the databases of a roster that count for commits."""
+        return frozenset(roster & self.listed()) if self.has_voters else None
+
+    def update_roster(self, listed, reached, primary, excluded):
         self.roster = rosters.compute_roster(
             self.holder.roster,
             self.roster,
@@ -448,6 +494,7 @@
             primary.database if primary else None,
             {n: received for n, (_, _, _, received) in reached.items()},
             SYNC_REPLICAS,
+            excluded,
         )
 
     def finish_order(self):
@@ -475,11 +522,14 @@
             self.withdraw()
             return
         known = holder.grants.leaders.get(G)
-        if known is None or known[:2] != (primary.database, primary.term):
+        if known is not None and known[:2] == (primary.database, primary.term):
+            base = known.base
+        else:
             order = self.own.orders.orders.get(G)
             is_ordered = order is not None and order.database == primary.database
             base = order.base if is_ordered and order.term < primary.term else ZERO
-            self.permit(permits.Leader(primary.database, primary.term, base))
+        voters = self.voters_of(self.roster)
+        self.permit(permits.Leader(primary.database, primary.term, base, voters))
 
     # A replacement, in steps between which anything may happen
 
@@ -616,7 +666,6 @@
         names = self.listed() | {x.database for x in work.paused}
         if self.has_permits:
             base = base if status[3] >= base else ZERO
-            self.permit(permits.Leader(database, status[1], base))
             names = rosters.roster_after_promotion(
                 self.roster,
                 self.listed(),
@@ -624,6 +673,8 @@
                 work.record.base,
                 SYNC_REPLICAS,
             )
+            voters = self.voters_of(self.roster & names)
+            self.permit(permits.Leader(database, status[1], base, voters))
         self.settle_order()
         self.roster = names
         return self.end()
--- a/test/decisions/test_permits.py
+++ b/test/decisions/test_permits.py
@@ -75,6 +75,73 @@
         assert state.version == FIRST
 
 
+class TestIsHeld:
+    """LOST: a replacement counted no database that held the commit."""
+
+    LEADER = Leader("b", 4, Position(3, 5), frozenset("abc"))
+
+    @pytest.mark.parametrize(
+        ("position", "received", "is_held"),
+        [
+            (Position(4, 7), {"c": Position(4, 7)}, True),
+            (Position(4, 7), {"c": Position(4, 6)}, False),
+            (Position(4, 7), {"d": Position(4, 7)}, False),
+            (Position(4, 7), {"c": Position(5, 1)}, False),
+            (Position(3, 5), {"a": Position(3, 5)}, True),
+            (Position(3, 5), {"a": Position(4, 1)}, True),
+            # It has not followed the leader yet, so its log may lack the commit.
+            (Position(3, 5), {"a": Position(2, 9)}, False),
+        ],
+    )
+    def test_counts_voters_that_include_the_commit(self, position, received, is_held):
+        assert permits.is_held(self.LEADER, position, received, 1) is is_held
+
+    def test_counts_the_primary_only_if_it_is_a_voter(self):
+        leader = self.LEADER._replace(voters=frozenset("ac"))
+        received = {"c": COMMIT._replace(term=4)}
+        assert not permits.is_held(leader, Position(4, 5), received, 1)
+
+
+class TestExclude:
+    """LOST: a database left the roster while instances counted it for commits."""
+
+    def begin(self):
+        state = permits.GrantState(7, 0.0)
+        permits.permit(state, "g", Leader("a", 3, voters=frozenset("abc")))
+        permits.note_given(state, 10.0, "i")
+        return state
+
+    def exclude(self, state, now):
+        return permits.exclude(state, "g", {"c"}, {"i": "dc"}, now)
+
+    def test_a_voter_is_not_excluded(self):
+        state = self.begin()
+        assert self.exclude(state, 10.1) == []
+        assert permits.excluded(state, "g", 100.0) == set()
+
+    @pytest.mark.parametrize("is_told", [True, False])
+    def test_ends_once_all_instances_are_told_or_their_permits_have_lapsed(
+        self, is_told
+    ):
+        state = self.begin()
+        permits.permit(state, "g", Leader("a", 3, voters=frozenset("ab")))
+        (revocation,) = self.exclude(state, 10.1)
+        assert permits.excluded(state, "g", 10.2) == set()
+        if is_told:
+            revocation.confirm("i", 10.2, {})
+        assert permits.excluded(state, "g", 10.3) == ({"c"} if is_told else set())
+        assert permits.excluded(state, "g", 10.0 + permits.PERMIT_S) == {"c"}
+        assert self.exclude(state, 12.0) == []
+
+    def test_starts_again_after_it_was_a_voter_again(self):
+        state = self.begin()
+        for voters in ("ab", "abc", "ab"):
+            permits.permit(state, "g", Leader("a", 3, voters=frozenset(voters)))
+            permits.note_given(state, 12.0, "i")
+            self.exclude(state, 12.0)
+        assert permits.excluded(state, "g", 12.5) == set()
+
+
 class TestIsConfirmed:
     """LOST: databases that were restarted had forgotten that they were paused."""
 
--- a/test/decisions/test_replacement_model.py
+++ b/test/decisions/test_replacement_model.py
@@ -30,7 +30,7 @@
 OTHERS = names_of(lambda machine: machine.running() | set(INSTANCES))
 
 
-class Machine(RuleBasedStateMachine, ReplacementModel):
+class Protocol(RuleBasedStateMachine, ReplacementModel):
     """The protocol of the replacer; without one of its parts it loses commits."""
 
     def __init__(self):
@@ -41,6 +41,7 @@
     def no_commit_is_lost(self):
         """Tell callers of what they may be told of; a promotion must keep it all."""
         for name in INSTANCES:
+            self.ask_voters(name)
             self.confirm(name)
         self.tell()
         self.assert_kept()
@@ -48,6 +49,10 @@
     def teardown(self):
         target(float(self.progress))
 
+
+class Machine(Protocol):
+    """All that may happen, in any order."""
+
     cut_off = rule(one=RUNNING, other=OTHERS)(ReplacementModel.cut_off)
     partition = rule(side=st.sets(OTHERS, max_size=3))(ReplacementModel.partition)
     reconnect = precondition(lambda self: self.group.broken)(
@@ -93,6 +98,26 @@
     )
 
 
+class Outsiders(Protocol):
+    """Few kinds of events, around databases that are not listed or have just joined."""
+
+    change_list = rule(name=RUNNING)(ReplacementModel.change_list)
+    cut_off = rule(one=RUNNING, other=OTHERS)(ReplacementModel.cut_off)
+    wait = rule(seconds=st.sampled_from([0.4, 2.5]), is_usual=st.just(True))(
+        ReplacementModel.wait
+    )
+    join, lose, write = Machine.join, Machine.lose, Machine.write
+    replace = rule(until=st.just("end"), is_late=st.just(False))(
+        ReplacementModel.replace
+    )
+
+
+class OutsidersWithoutVoters(Outsiders):
+    """A permit covers commits that only databases outside the roster have received."""
+
+    has_voters = False
+
+
 class WithoutPermits(Machine):
     """The protocol before: instances pass every acknowledgement on."""
 
@@ -100,6 +125,12 @@
     has_records = False
 
 
+class WithoutVoters(Machine):
+    """A permit covers commits that only databases outside the roster have received."""
+
+    has_voters = False
+
+
 class WithoutRecords(Machine):
     """A holder knows nothing of the orders of an earlier one."""
 
@@ -134,13 +165,48 @@
         with pytest.raises(AssertionError, match="lacks"):
             search(WithoutPermits, 3000, [Phase.generate, Phase.target])
 
-    def test_finds_no_loss(self):
-        search(Machine, 1000)
+    def test_finds_a_loss_without_voters(self):
+        with pytest.raises(AssertionError, match="lacks"):
+            search(OutsidersWithoutVoters, 6000, [Phase.generate, Phase.target])
+
+    @pytest.mark.parametrize("machine", [Machine, Outsiders])
+    def test_finds_no_loss(self, machine):
+        search(machine, 1000)
 
 
 class TestHistories:
     """LOST: the shortest histories that have lost a commit."""
 
+    def test_commit_that_only_an_unlisted_database_has_received(self):
+        # review/7: c, unlisted, left the roster and went on receiving.
+        history = [
+            ("change_list", "c"),
+            ("write", "x", "a", "b"),
+            ("check",),
+            ("wait", 0.4, True),
+            ("check",),
+            ("write", "x", "a", "c"),
+            ("lose", "a"),
+            ("replace", "end", False),
+        ]
+        with pytest.raises(AssertionError, match="lacks"):
+            play(WithoutVoters(), history)
+        play(Machine(), history)
+
+    def test_commit_that_only_a_database_that_has_joined_has_received(self):
+        # review/6: d is not in the roster yet, and the holder can't write it there.
+        history = [
+            ("join", "a"),
+            ("change_list", "a"),
+            ("write", "x", "a", "d"),
+            ("cut_off", "d", "x"),
+            ("cut_off", "a", "x"),
+            ("replace", "end", False),
+        ]
+        with pytest.raises(AssertionError, match="lacks"):
+            play(WithoutVoters(), history)
+        play(Machine(), history)
+
     def test_order_that_a_later_replacement_knows_nothing_of(self):
         history = [
             ("replace", "end", True),
--- a/test/decisions/test_rosters.py
+++ b/test/decisions/test_rosters.py
@@ -6,6 +6,12 @@
 from dragonflywing.decisions.positions import Position, intersecting_quorum
 
 
+def compute_roster(state, recorded, listed, *args, excluded=None):
+    """Compute a roster; by default no instance counts an unlisted database."""
+    excluded = recorded - listed if excluded is None else excluded
+    return rosters.compute_roster(state, recorded, listed, *args, excluded)
+
+
 def positions(**indexes):
     return {name: Position(1, index) for name, index in indexes.items()}
 
@@ -14,22 +20,20 @@
     def test_adds_listed_databases_while_a_primary_is_confirmed(self):
         state = rosters.RosterState()
         received = positions(a=5, b=0)
-        assert rosters.compute_roster(state, {"a"}, {"a", "b"}, "a", received, 1) == {
+        assert compute_roster(state, {"a"}, {"a", "b"}, "a", received, 1) == {
             "a",
             "b",
         }
 
     def test_adds_no_database_without_a_confirmed_primary(self):
         state = rosters.RosterState()
-        names = rosters.compute_roster(state, {"a", "b"}, {"b", "new"}, None, {}, 1)
+        names = compute_roster(state, {"a", "b"}, {"b", "new"}, None, {}, 1)
         assert names == {"a", "b"}
 
     def test_keeps_unlisted_databases_without_a_confirmed_primary(self):
         state = rosters.RosterState()
         received = positions(b=9, c=9)
-        names = rosters.compute_roster(
-            state, {"a", "b", "c"}, {"b", "c"}, None, received, 1
-        )
+        names = compute_roster(state, {"a", "b", "c"}, {"b", "c"}, None, received, 1)
         assert names == {"a", "b", "c"}
 
     def test_keeps_unlisted_databases_while_a_replica_is_behind(self):
@@ -37,11 +41,8 @@
         group = {"a", "b", "c"}
         for _ in range(3):
             received = positions(a=9, b=4)
-            assert (
-                rosters.compute_roster(state, group, {"a", "b"}, "a", received, 1)
-                == group
-            )
-        assert rosters.compute_roster(
+            assert compute_roster(state, group, {"a", "b"}, "a", received, 1) == group
+        assert compute_roster(
             state, group, {"a", "b"}, "a", positions(a=12, b=9), 1
         ) == {
             "a",
@@ -51,12 +52,25 @@
     def test_required_position_is_reset_when_a_database_is_listed_again(self):
         state = rosters.RosterState()
         group = {"a", "b", "c"}
-        rosters.compute_roster(state, group, {"a", "b"}, "a", positions(a=9, b=4), 1)
-        rosters.compute_roster(state, group, group, "a", positions(a=12, b=4, c=12), 1)
+        compute_roster(state, group, {"a", "b"}, "a", positions(a=9, b=4), 1)
+        compute_roster(state, group, group, "a", positions(a=12, b=4, c=12), 1)
         received = positions(a=12, b=9)
-        assert (
-            rosters.compute_roster(state, group, {"a", "b"}, "a", received, 1) == group
-        )
+        assert compute_roster(state, group, {"a", "b"}, "a", received, 1) == group
+
+    def test_keeps_an_unlisted_database_that_may_still_count_for_a_commit(self):
+        # LOST: it left the roster, and then held commits that callers were told of.
+        state, group = rosters.RosterState(), {"a", "b", "c"}
+
+        def compute(excluded, **indexes):
+            received = positions(**indexes)
+            return compute_roster(
+                state, group, {"a", "b"}, "a", received, 1, excluded=excluded
+            )
+
+        assert compute(set(), a=9, b=9) == group
+        # What it may have counted for until now is required.
+        assert compute({"c"}, a=12, b=9) == group
+        assert compute({"c"}, a=15, b=12) == {"a", "b"}
 
     def test_fewer_votes_suffice_when_all_listed_databases_answer(self):
         roster, listed = {"a", "b", "c", "new1", "new2"}, {"a", "new1", "new2"}
@@ -85,9 +99,7 @@
                 )
                 state = rosters.RosterState()
                 listed = set(names) - {unlisted}
-                roster = rosters.compute_roster(
-                    state, set(names), listed, "a", received, 1
-                )
+                roster = compute_roster(state, set(names), listed, "a", received, 1)
                 quorum = intersecting_quorum(len(roster), 1)
                 for voters in itertools.combinations(sorted(roster), quorum):
                     assert any(indexes[name] == 9 for name in voters)
--- a/test/platform/test_hand_overs.py
+++ b/test/platform/test_hand_overs.py
@@ -4,7 +4,9 @@
 [MOVE ...] [databases=N] [effect=S] [logs=FOLDER]. The holder's moves are cut, cut_duty,
 freeze and end. With moves of the databases (join, leave, restart, rename), or losses of
 the primary (crash, unheard, cut_some, cut_all, cut_replicas), these happen from shortly
-before an order to its effect, which comes up to S seconds (5) after it.
+before an order to its effect, which comes up to S seconds (5) after it. With unlist and
+deafen, a replica that goes on receiving is no longer listed before the primary is lost,
+and the others receive nothing.
 """
 
 import asyncio
@@ -32,6 +34,8 @@
 HOLDER_MOVES = ("cut", "cut_duty", "freeze", "end")
 DATABASE_MOVES = ("join", "leave", "restart", "rename")
 ENDING_MOVES = {"leave", "rename"}  # a log is gone, or under another name
+UNLISTED_S = 4.0  # at most, from the end of an entry to what follows
+DEAF_S = 1.8  # at most, until the primary is lost
 LOSSES = ("crash", "unheard", "cut_some", "cut_all", "cut_replicas")
 
 
@@ -156,6 +160,11 @@
         await self.deployment.start_instance(name, DATA_CENTRES[number % 3])
         await self.deployment.wait_ready(name)
 
+    def replicas_of(self, primary):
+        """Return the other databases, in the order of their names."""
+        databases = sorted(self.deployment.group.databases.items())
+        return [item for _, item in databases if item is not primary]
+
     def primary(self):
         """Return the database that leads, None if there is none."""
         databases = self.deployment.group.databases.values()
@@ -209,7 +218,11 @@
                 broken.append(f"{holder} orders {database}: {token} after {greatest}")
                 broken += self.find_logged(holder, token)
             greatest = max(greatest, token)
-        self.writes.compare(self.deployment.group.leader())
+        leader = self.deployment.group.leader()
+        if leader is None:
+            broken.append("no database leads at the end")
+        else:
+            self.writes.compare(leader)
         for cause, number in Counter(self.writes.lost.values()).items():
             broken.append(f"lost {number}: {cause}")
         return broken
@@ -222,6 +235,8 @@
         super().__init__(deployment, seed)
         self.kinds = [word for word in words if word in HOLDER_MOVES]
         self.database_kinds = [word for word in words if word in DATABASE_MOVES]
+        self.leaderless = 0  # rounds in which no database led within that time
+        self.isolations = {"unlist", "deafen"} & set(words)
         self.losses = [word for word in words if word in LOSSES] or ["unheard"]
         self.moved = set()  # databases that are joining, ending or restarting
 
@@ -262,6 +277,27 @@
         """Let a replica come back under another name."""
         await self.deployment.rename(replica)
 
+    async def isolate(self):
+        """Let one replica be unlisted, and then the others receive nothing."""
+        replicas = self.rng.sample(self.replicas(), len(self.replicas()))
+        if "unlist" in self.isolations and self.rng.random() < 0.8:
+            self.moves.append(f"unlist {replicas[0].name}")
+            self.deployment.platform.delete(f"servers/{replicas[0].name}")
+            await asyncio.sleep(self.rng.uniform(0.0, UNLISTED_S))
+        if "deafen" in self.isolations and self.rng.random() < 0.8:
+            self.moves += [f"deafen {item.name}" for item in replicas[1:]]
+            for item in replicas[1:]:
+                item.is_cut_off = True
+            await asyncio.sleep(self.rng.uniform(0.0, DEAF_S))
+
+    def end_isolation(self):
+        """List all databases that run, and let them receive."""
+        for item in self.deployment.group.databases.values():
+            if item.is_up and self.isolations and item.name not in self.moved:
+                item.is_cut_off = False
+                item.catch_up()
+                self.deployment.put_database_entry(item)
+
     async def lose(self, primary):
         """Let the primary crash or be cut."""
         deployment, group = self.deployment, self.deployment.group
@@ -310,10 +346,24 @@
             await asyncio.sleep(self.rng.choice([0.0, 0.2, 0.8]))
         await asyncio.gather(*moves)
 
+    async def wait_for_leader(self):
+        """Return the database that leads; note if none does for long."""
+        group = self.deployment.group
+        end = asyncio.get_running_loop().time() + REPLACED_WITHIN_S
+        while group.leader() is None:
+            if asyncio.get_running_loop().time() > end:
+                self.leaderless += 1
+                return None
+            await asyncio.sleep(0.05)
+        return group.leader()
+
     async def replace_primary(self):
         """Lose a primary; bring it back once another one leads, or never will."""
         group = self.deployment.group
-        primary, count = group.leader(), len(self.writes.effects)
+        await self.isolate()
+        primary, count = await self.wait_for_leader(), len(self.writes.effects)
+        if primary is None:
+            return
         end = asyncio.get_running_loop().time() + RETURNS_AFTER_S
         await self.lose(primary)
         tasks = [asyncio.create_task(self.disturb_databases())]
@@ -330,6 +380,7 @@
         else:
             primary.is_primary = group.leader() is None
             await self.deployment.restart_database(primary, 0.0)
+        self.end_isolation()
         await asyncio.gather(*tasks)
 
     async def disturb_holder(self):
@@ -359,7 +410,10 @@
             await asyncio.sleep(1)
         for task in writers:
             task.cancel()
-        return self.find_broken()
+        broken = self.find_broken()
+        if self.leaderless:
+            broken.append(f"no database led for {REPLACED_WITHIN_S} s")
+        return broken
 
 
 class Result(NamedTuple):
@@ -419,6 +473,37 @@
         assert result.orders >= 4 and result.written
 
 
+class TestUnlisted:
+    """Writes stay that only a database without an entry has received."""
+
+    def test_are_in_no_log_that_is_promoted_without_them(self, tmp_path):
+        # LOST: an unlisted replica left the roster, and went on receiving.
+        async def play():
+            async with deployed(tmp_path, 3, through_networks=True) as deployment:
+                state = HandOvers(deployment, 0)
+                names = list(deployment.processes)
+                tasks = [asyncio.create_task(state.write(name)) for name in names]
+                await asyncio.sleep(1.0)
+                primary = deployment.group.leader()
+                unlisted, deaf = state.replicas_of(primary)
+                deployment.platform.delete(f"servers/{unlisted.name}")
+                await asyncio.sleep(7.0)
+                count = len(state.writes.acknowledged)
+                assert count
+                deaf.is_cut_off = True
+                await asyncio.sleep(1.2)
+                primary.crash()
+                end = asyncio.get_running_loop().time() + REPLACED_WITHIN_S
+                while not state.writes.effects:
+                    assert asyncio.get_running_loop().time() < end, "not replaced"
+                    await asyncio.sleep(0.05)
+                for task in tasks:
+                    task.cancel()
+                return state.find_broken()
+
+        assert run(play()) == []
+
+
 class TestOrderUnderWay:
     """Writes stay while the databases change between an order and its effect."""
 
--- a/test/test_acknowledgements.py
+++ b/test/test_acknowledgements.py
@@ -9,6 +9,7 @@
 from dragonflywing.decisions import permits
 from dragonflywing.decisions.permits import Leader, Version
 from dragonflywing.decisions.positions import Position
+from dragonflywing.deployment import Database
 from dragonflywing.groups import Groups
 from dragonflywing.metrics import Metrics
 from dragonflywing.ports import DatabaseStatus
@@ -87,3 +88,89 @@
     def test_needs_no_permit_if_a_replica_that_was_not_restarted_holds_it(self):
         # The store is away, so that no instance holds the duty.
         assert self.confirm(connected_s=5.0) == (True, 0.0)
+
+
+class TestVoters:
+    """LOST: a caller was told of a commit that only an unlisted replica had received.
+
+    The permit covers the primary a; b and c are voters, d isn't.
+    """
+
+    LEADER = Leader("a", 3, voters=frozenset("abc"))
+
+    def confirm(self, received, leader=LEADER, change=lambda state: None, **options):
+        """Return whether a commit is confirmed in 1 s, how long it took, who was asked.
+
+        `received` maps databases to what they have received, None if they are silent;
+        `change(received)` is called after 0.5 s.
+        """
+
+        async def run_commit():
+            state = Groups(None, Metrics())
+            asked, started_at = [], clock()
+
+            async def status_of(name):
+                asked.append(name)
+                await asyncio.sleep(0.01 if received[name] else 0.4)
+                if received[name] is None:
+                    return None
+                return DatabaseStatus(False, 3, received[name], 0, 0.0, 0, 1)
+
+            state.status_of = status_of
+            for number, name in enumerate("abcd"):
+                place = f"dc-{number}"
+                state.note_database(
+                    Database(name, "g", "h", 1, place, 2, False, False, 1)
+                )
+            state.note_permits(Version(7, 1), {"g": leader}, clock(), 10.0)
+            waiting = Acknowledgements(state, state.metrics)
+            waiting.data_centre = options.get("data_centre")
+            asyncio.get_running_loop().call_later(0.5, change, received)
+            is_confirmed = await waiting.confirm("s", "g", "a", COMMIT, 1.0)
+            took_s = pytest.approx(clock() - started_at, abs=0.01)
+            is_confirmed = (
+                is_confirmed,
+                await waiting.confirm("s", "g", "a", Position(3, 4), 1.0),
+            )
+            return is_confirmed, took_s, asked
+
+        return run_on_simulated_clock(run_commit())
+
+    def test_one_that_holds_a_commit_is_enough(self):
+        result = self.confirm(dict.fromkeys("bcd", COMMIT))
+        assert result == ((True, True), 0.01, ["b"])
+
+    def test_the_nearest_is_asked_first(self):
+        received = dict.fromkeys("bcd", COMMIT)
+        result = self.confirm(received, data_centre="dc-2")
+        assert result == ((True, True), 0.01, ["c"])
+
+    def test_the_other_is_asked_if_the_first_is_silent(self):
+        received = {"b": None, "c": COMMIT, "d": COMMIT}
+        (is_confirmed, took_s, _) = self.confirm(received)
+        assert is_confirmed == (True, True) and took_s == 0.1
+
+    def test_a_commit_that_none_holds_is_in_doubt_at_the_deadline(self):
+        received = {"b": Position(3, 4), "c": Position(2, 9), "d": COMMIT}
+        is_confirmed, took_s, asked = self.confirm(received)
+        assert is_confirmed == (False, True) and took_s == 1.0
+        assert "d" not in asked and len(asked) < 20
+
+    def test_a_commit_that_one_receives_later_is_confirmed_then(self):
+        def receive(received):
+            received["c"] = COMMIT
+
+        received = {"b": Position(3, 4), "c": Position(3, 4), "d": COMMIT}
+        is_confirmed, took_s, _ = self.confirm(received, change=receive)
+        assert is_confirmed == (True, True)
+        assert 0.5 <= took_s.expected <= 0.75
+
+    def test_a_primary_outside_the_roster_needs_two(self):
+        leader = self.LEADER._replace(voters=frozenset("bc"))
+        received = {"b": COMMIT, "c": Position(3, 4), "d": COMMIT}
+        assert self.confirm(received, leader)[0] == (False, True)
+
+    def test_a_holder_of_an_earlier_build_names_none(self):
+        leader = self.LEADER._replace(voters=None)
+        received = dict.fromkeys("bcd")
+        assert self.confirm(received, leader) == ((True, True), 0.0, [])
