--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -95,10 +95,7 @@
 
     async def _check(self, tmp_path):
         async with deployed(tmp_path) as deployment:
-            acknowledged = []
-            crash = asyncio.get_running_loop().call_later(
-                0.5, deployment.group.databases["db-0"].crash
-            )
+            acknowledged, crash = [], None
             caller = await deployment.connect("front-1", "orders")
             end = asyncio.get_running_loop().time() + 6
             number, after_promotion = 0, 0
@@ -107,9 +104,11 @@
                 code, _, _ = await caller.query(f"WRITE n{number} {number}")
                 if code == "":
                     acknowledged.append(number)
+                    crash = crash or asyncio.get_running_loop().call_later(
+                        0.5, deployment.group.databases["db-0"].crash
+                    )
                     after_promotion += deployment.platform.promotions != []
                 await asyncio.sleep(0.02)
-            crash.cancel()
             assert after_promotion == 20, "too few writes after the promotion"
             tokens = [token for _, token, _, _ in deployment.platform.promotions]
             assert tokens == sorted(tokens)
