Exclude a database that doesn't answer before its entry expires

With one of three databases gone for good, a primary that crashed 0.3 s after that one's entry had expired wasn't replaced: the roster shrank up to 0.7 s after the entry, as the instances are told first. The holder now leaves a database that hasn't answered two rounds of queries, over a second, out of the permit's voters, unless too few would be left, so that instances know it before the entry expires.

--- a/dragonflywing/decisions/permits.py
+++ b/dragonflywing/decisions/permits.py
@@ -238,18 +238,20 @@
 def exclude(state, group, databases, data_centres, now):
     """Begin to exclude those databases of a group that its permit has not as voters.
 
-    Of others the exclusion ends. Return the new Revocations, which say when no instance
-    counts the databases any more.
+    Of others the exclusion ends. Return the Revocation that says when no instance
+    counts those any more that were added, None if there are none.
     """
-    leader, begun = state.leaders.get(group), []
+    leader = state.leaders.get(group)
     for key in [x for x in state.excluded if x[0] == group and x[1] not in databases]:
         del state.excluded[key]
-    for name in databases:
-        is_voter = leader and (leader.voters is None or name in leader.voters)
-        if not is_voter and (group, name) not in state.excluded:
-            begun.append(Revocation(state, data_centres, now))
-            state.excluded[group, name] = begun[-1]
-    return begun
+    added = {name for name in databases if (group, name) not in state.excluded}
+    if leader is not None:
+        added -= leader.voters if leader.voters is not None else added
+    if not added:
+        return None
+    revocation = Revocation(state, data_centres, now)
+    state.excluded.update({(group, name): revocation for name in added})
+    return revocation
 
 
 def excluded(state, group, now):
--- a/dragonflywing/decisions/replacement.py
+++ b/dragonflywing/decisions/replacement.py
@@ -62,7 +62,8 @@
 
     `pending_position` is a position that the primary reported at `pending_since`
     and that no replica is known to have received. `asked_at` is the time at which
-    the group's databases were last queried.
+    the group's databases were last queried, `unanswered` is that of
+    `rosters.note_answers`.
     """
 
     def __init__(self, now):
@@ -71,6 +72,7 @@
         self.pending_since = now
         self.is_behind = False
         self.asked_at = 0.0
+        self.unanswered = {}
 
 
 def record_positions(state, now, received, replicas):
--- a/dragonflywing/decisions/rosters.py
+++ b/dragonflywing/decisions/rosters.py
@@ -8,6 +8,11 @@
 listed databases have stored everything that the primary held after that.
 """
 
+# A database is silent if it hasn't answered this many queries, for this time. One that
+# ends for good is then excluded before its entry expires.
+SILENT_QUERIES = 2
+SILENT_S = 1.0
+
 
 class RosterState:
     """The position of the primary after each unlisted database was excluded.
@@ -57,6 +62,33 @@
     return (recorded | listed) - replaced
 
 
+def note_answers(unanswered, now, statuses):
+    """Note which databases answered a round of queries that began at `now`.
+
+    `unanswered` maps each that hasn't answered since to (queries, when they began).
+    `statuses` has None for those that didn't answer.
+    """
+    for name in unanswered.keys() - statuses.keys():
+        del unanswered[name]
+    for name, status in statuses.items():
+        if status is not None:
+            unanswered.pop(name, None)
+        else:
+            queries, since = unanswered.get(name, (0, now))
+            unanswered[name] = queries + 1, since
+
+
+def without_silent(voters, unanswered, now, primary, sync_replicas):
+    """Return the voters without the silent ones, if enough others are left."""
+    silent = {
+        name
+        for name, (queries, since) in unanswered.items()
+        if queries >= SILENT_QUERIES and now - since >= SILENT_S
+    }
+    heard = voters - silent
+    return heard if len(heard - {primary}) >= sync_replicas else voters
+
+
 def roster_after_promotion(recorded, listed, received, base, sync_replicas):
     """Return the names of the roster once a database was promoted.
 
--- a/dragonflywing/granting.py
+++ b/dragonflywing/granting.py
@@ -101,11 +101,11 @@
         if self.state is None:
             return
         now = boottime()
-        begun = permits.exclude(self.state, group, databases, self._data_centres(), now)
-        if not begun:
-            return
-        self.renew_own()
-        for revocation in begun:
+        revocation = permits.exclude(
+            self.state, group, databases, self._data_centres(), now
+        )
+        if revocation is not None:
+            self.renew_own()
             revocation.confirm(self.settings.instance, now, self._left_s())
             spawn(self._tasks, self._await(revocation, self._pack()))
 
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -413,15 +413,15 @@
             )
         )
         reachable = {name: status for name, status in statuses.items() if status}
+        rosters.note_answers(health.unanswered, now, statuses)
         confirmed = self._confirm_primary(group, set(statuses), reachable)
         await self._update_roster(group, set(statuses), reachable, confirmed, excluded)
         if token != self.token:
             return  # another holder may have replaced the primary meanwhile
         if await self._finish_order(group):
             return
-        self._update_permit(group, confirmed, reachable)
-        roster = self.groups.rosters.get(group, {}).keys()
-        self.granting.exclude(group, roster - statuses.keys())
+        self._update_permit(group, confirmed, reachable, health.unanswered)
+        self._exclude(group)
         if self.granting.leader(group) is not None:
             await self.order_records.settle(group)
         primaries = [n for n, status in reachable.items() if status.is_primary]
@@ -469,7 +469,7 @@
         """Return the statuses of the databases that were not born again."""
         return {n: s for n, s in statuses.items() if n not in self.groups.reborn}
 
-    def _update_permit(self, group, primary, reachable):
+    def _update_permit(self, group, primary, reachable, unanswered):
         """Permit the confirmed primary while the roster's replicas receive its writes.
 
         A database that isn't in the roster yet may otherwise be the only one that
@@ -496,11 +496,27 @@
             order = self.order_records.get(group)
             is_ordered = order is not None and order.database == primary.database
             base = order.base if is_ordered and order.term < primary.term else ZERO
-        voters = self._voters(group, roster.keys())
+        voters = rosters.without_silent(
+            self._voters(group, roster.keys()),
+            unanswered,
+            boottime(),
+            primary.database,
+            self.groups.sync_replicas(group),
+        )
         self.granting.permit(
             group, permits.Leader(primary.database, primary.term, base, voters)
         )
 
+    def _exclude(self, group):
+        """Exclude the databases of a group's roster that are no voters.
+
+        Without a permit, only those are that aren't listed.
+        """
+        roster = self.groups.rosters.get(group, {}).keys()
+        leader = self.granting.leader(group)
+        listed = {item.name for item in self.groups.members(group)}
+        self.granting.exclude(group, roster - (leader.voters if leader else listed))
+
     def _voters(self, group, roster):
         """Return the databases of a roster that count for commits.
 
--- a/test/decisions/test_permits.py
+++ b/test/decisions/test_permits.py
@@ -116,7 +116,7 @@
 
     def test_a_voter_is_not_excluded(self):
         state = self.begin()
-        assert self.exclude(state, 10.1) == []
+        assert self.exclude(state, 10.1) is None
         assert permits.excluded(state, "g", 100.0) == set()
 
     @pytest.mark.parametrize("is_told", [True, False])
@@ -125,13 +125,13 @@
     ):
         state = self.begin()
         permits.permit(state, "g", Leader("a", 3, voters=frozenset("ab")))
-        (revocation,) = self.exclude(state, 10.1)
+        revocation = self.exclude(state, 10.1)
         assert permits.excluded(state, "g", 10.2) == set()
         if is_told:
             revocation.confirm("i", 10.2, {})
         assert permits.excluded(state, "g", 10.3) == ({"c"} if is_told else set())
         assert permits.excluded(state, "g", 10.0 + permits.PERMIT_S) == {"c"}
-        assert self.exclude(state, 12.0) == []
+        assert self.exclude(state, 12.0) is None
 
     def test_starts_again_after_it_was_a_voter_again(self):
         state = self.begin()
--- a/test/decisions/test_rosters.py
+++ b/test/decisions/test_rosters.py
@@ -105,6 +105,27 @@
                     assert any(indexes[name] == 9 for name in voters)
 
 
+class TestSilent:
+    """A group of three couldn't replace its primary soon after another one had gone."""
+
+    def voters(self, answers):
+        """Return the voters after rounds of queries, 0.6 s apart."""
+        unanswered = {}
+        for number, names in enumerate(answers):
+            statuses = {name: name if name in names else None for name in "abc"}
+            rosters.note_answers(unanswered, 0.6 * number, statuses)
+        return rosters.without_silent(
+            frozenset("abc"), unanswered, 0.6 * (len(answers) - 1), "a", 1
+        )
+
+    def test_databases_are_no_voters(self):
+        assert self.voters(["abc", "ab", "ab", "ab"]) == {"a", "b"}
+        assert self.voters(["ab", "abc", "ab", "ab"]) == {"a", "b", "c"}
+
+    def test_the_last_replicas_stay_voters(self):
+        assert self.voters(["a", "a", "a", "a"]) == {"a", "b", "c"}
+
+
 class TestAfterPromotion:
     def test_an_unlisted_database_counts_until_replicas_hold_what_was_promoted(self):
         # LOST: the next promotion could do without the database that had the write.
