Leave out voters that are leaving, and look again once one is excluded

A replica that had left was excluded only after its entry had gone, and the roster shrank at a later round of queries: a primary that crashed within a second of that was not replaced. Leaving replicas are no voters now if enough others are left, and the next round follows at once.

--- a/dragonflywing/decisions/rosters.py
+++ b/dragonflywing/decisions/rosters.py
@@ -78,15 +78,26 @@
             unanswered[name] = queries + 1, since
 
 
-def without_silent(voters, unanswered, now, primary, sync_replicas):
-    """Return the voters without the silent ones, if enough others are left."""
-    silent = {
+def silent(unanswered, now):
+    """Return the databases that haven't answered for a while, see `note_answers`."""
+    return {
         name
         for name, (queries, since) in unanswered.items()
         if queries >= SILENT_QUERIES and now - since >= SILENT_S
     }
-    heard = voters - silent
-    return heard if len(heard - {primary}) >= sync_replicas else voters
+
+
+def choose_voters(names, leaving, silent, primary, sync_replicas):
+    """Return those of some databases that are to count for commits of a primary.
+
+    Those that are leaving or silent will soon have to be excluded, so they don't if
+    enough others do.
+    """
+    for unwanted in (leaving | silent, silent):
+        voters = names - (unwanted - {primary})
+        if len(voters - {primary}) >= sync_replicas:
+            return voters
+    return names
 
 
 def roster_after_promotion(recorded, listed, received, base, sync_replicas):
--- a/dragonflywing/granting.py
+++ b/dragonflywing/granting.py
@@ -96,10 +96,11 @@
     def exclude(self, group, databases):
         """Tell all instances which databases of a group count for no commit any more.
 
-        Those that are voters in the group's permit still do.
+        Those that are voters in the group's permit still do. Return whether there are
+        more of them than before.
         """
         if self.state is None:
-            return
+            return False
         now = boottime()
         revocation = permits.exclude(
             self.state, group, databases, self._data_centres(), now
@@ -108,6 +109,7 @@
             self.renew_own()
             revocation.confirm(self.settings.instance, now, self._left_s())
             spawn(self._tasks, self._await(revocation, self._pack()))
+        return revocation is not None
 
     def excluded(self, group):
         """Return the databases of a group that no instance counts any more."""
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -421,7 +421,8 @@
         if await self._finish_order(group):
             return
         self._update_permit(group, confirmed, reachable, health.unanswered)
-        self._exclude(group)
+        if self._exclude(group):
+            health.asked_at = 0.0  # the roster may shrink soon
         if self.granting.leader(group) is not None:
             await self.order_records.settle(group)
         primaries = [n for n, status in reachable.items() if status.is_primary]
@@ -496,10 +497,10 @@
             order = self.order_records.get(group)
             is_ordered = order is not None and order.database == primary.database
             base = order.base if is_ordered and order.term < primary.term else ZERO
-        voters = rosters.without_silent(
+        voters = rosters.choose_voters(
             self._voters(group, roster.keys()),
-            unanswered,
-            boottime(),
+            {item.name for item in self.groups.members(group) if item.is_leaving},
+            rosters.silent(unanswered, boottime()),
             primary.database,
             self.groups.sync_replicas(group),
         )
@@ -510,12 +511,15 @@
     def _exclude(self, group):
         """Exclude the databases of a group's roster that are no voters.
 
-        Without a permit, only those are that aren't listed.
+        Without a permit, only those are that aren't listed. Return whether some were
+        added.
         """
         roster = self.groups.rosters.get(group, {}).keys()
         leader = self.granting.leader(group)
         listed = {item.name for item in self.groups.members(group)}
-        self.granting.exclude(group, roster - (leader.voters if leader else listed))
+        return self.granting.exclude(
+            group, roster - (leader.voters if leader else listed)
+        )
 
     def _voters(self, group, roster):
         """Return the databases of a roster that count for commits.
--- a/test/decisions/test_rosters.py
+++ b/test/decisions/test_rosters.py
@@ -105,25 +105,29 @@
                     assert any(indexes[name] == 9 for name in voters)
 
 
-class TestSilent:
+class TestChooseVoters:
     """A group of three couldn't replace its primary soon after another one had gone."""
 
-    def voters(self, answers):
+    def voters(self, answers, leaving=frozenset()):
         """Return the voters after rounds of queries, 0.6 s apart."""
         unanswered = {}
         for number, names in enumerate(answers):
             statuses = {name: name if name in names else None for name in "abc"}
             rosters.note_answers(unanswered, 0.6 * number, statuses)
-        return rosters.without_silent(
-            frozenset("abc"), unanswered, 0.6 * (len(answers) - 1), "a", 1
-        )
+        silent = rosters.silent(unanswered, 0.6 * (len(answers) - 1))
+        return rosters.choose_voters(frozenset("abc"), leaving, silent, "a", 1)
 
-    def test_databases_are_no_voters(self):
+    def test_leaves_out_databases_that_do_not_answer(self):
         assert self.voters(["abc", "ab", "ab", "ab"]) == {"a", "b"}
         assert self.voters(["ab", "abc", "ab", "ab"]) == {"a", "b", "c"}
 
-    def test_the_last_replicas_stay_voters(self):
-        assert self.voters(["a", "a", "a", "a"]) == {"a", "b", "c"}
+    def test_leaves_out_replicas_that_leave(self):
+        assert self.voters(["abc"], {"a", "b"}) == {"a", "c"}
+
+    def test_keeps_as_many_as_a_commit_needs(self):
+        assert self.voters(["a"] * 4) == {"a", "b", "c"}
+        assert self.voters(["abc"], {"b", "c"}) == {"a", "b", "c"}
+        assert self.voters(["ab"] * 4, {"b"}) == {"a", "b"}
 
 
 class TestAfterPromotion:
