Let a fence meet what a replacement has paused

A fence took all but `sync_replicas` databases, which meets every set that acknowledges a write; a replacement pauses as many, and with two the sets can be different. A fence takes `sync_replicas` + 1 at least now (`positions.fence_quorum`).

That alone would refuse such reads in a group of two while one is dark. Under a valid permit the primary's answer is enough, as nothing else is promoted before the permit is revoked or lapses; so the replicas aren't asked. The holder keeps the permit while replicas don't receive, as commits count by their voters, unless an instance of an earlier build runs.

--- a/dragonflywing/cluster.py
+++ b/dragonflywing/cluster.py
@@ -59,12 +59,14 @@
     port: Port
     incarnation: Count
     has_permits: NotRequired[bool]
+    has_voters: NotRequired[bool]
 
 
 class Peer(NamedTuple):
     """Another instance, as registered in the store.
 
-    `has_permits` is false for an earlier build, which neither gives nor needs permits.
+    `has_permits` is false for an earlier build, which neither gives nor needs permits,
+    `has_voters` for one that tells callers of commits without asking voters.
     """
 
     instance: str
@@ -73,6 +75,7 @@
     port: int
     incarnation: int
     has_permits: bool = False
+    has_voters: bool = False
 
 
 class Liveness:
@@ -138,6 +141,7 @@
             "port": self.settings.peer_port,
             "incarnation": self.incarnation,
             "has_permits": True,
+            "has_voters": True,
         }
         key = MEMBER_PREFIX + self.settings.instance
         lease_s = max(MEMBER_LEASE_S, self.settings.lease_min_s)
--- a/dragonflywing/decisions/fences.py
+++ b/dragonflywing/decisions/fences.py
@@ -80,14 +80,20 @@
     return [Query(state.round_id, name) for name in state.asked]
 
 
-def handle_status(state, now, round_id, database, status, timeout_s):
-    """Handle a database's status, None if the query failed; return messages."""
+def handle_status(
+    state, now, round_id, database, status, timeout_s, is_permitted=False
+):
+    """Handle a database's status, None if the query failed; return messages.
+
+    A primary that is permitted has not been replaced, and needs no confirmation.
+    """
     if round_id != state.round_id or database not in state.unanswered:
         return []
     state.unanswered.discard(database)
     if status is not None:
         state.statuses.append(status)
-    primary = confirmed_primary(state.statuses, len(state.asked), state.asked_quorum)
+    quorum = 1 if is_permitted else state.asked_quorum
+    primary = confirmed_primary(state.statuses, len(state.asked), quorum)
     if primary is None:
         return _refuse_round(state, now, timeout_s) if not state.unanswered else []
     granted = [
--- a/dragonflywing/decisions/positions.py
+++ b/dragonflywing/decisions/positions.py
@@ -44,6 +44,16 @@
     return max(1, size - sync_replicas)
 
 
+def fence_quorum(size, sync_replicas):
+    """Return how many databases confirm that a primary has not been replaced.
+
+    They include one of each write quorum, and one of the databases that a replacement
+    has paused, which are all but `sync_replicas`.
+    """
+    quorum = intersecting_quorum(size, sync_replicas)
+    return min(max(quorum, sync_replicas + 1), max(1, size))
+
+
 def confirmed_primary(statuses, size, quorum=None):
     """Return the status of the primary that a quorum still follows, or None.
 
--- a/dragonflywing/groups.py
+++ b/dragonflywing/groups.py
@@ -7,7 +7,8 @@
 of this module.
 
 A fence confirms a group's primary and its log position through a quorum of
-statuses. A floor is a position confirmed in this way and the time of the query.
+statuses, or by the primary's own under a permit. A floor is a position confirmed in
+this way and the time of the query.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
 from dragonflywing.decisions import contention, evacuation, fences, floors, permits
 from dragonflywing.decisions.positions import (
     Status,
+    fence_quorum,
     intersecting_quorum,
 )
 from dragonflywing.homes import Home
@@ -94,6 +96,7 @@
         self.groups = {}  # {name: GroupState}
         self.permits = permits.PermitState()
         self.permits_changed = asyncio.Event()  # replaced once it is set
+        self.renew_own_permits = lambda: None  # where this instance gives them
         self.homes = {}  # {database: Home}
         self.specs = {}  # {name: deployment.Group}
         self.workspace_count = 0  # of the configuration in force
@@ -457,6 +460,17 @@
         if state.version != known or not was_valid:
             self._note_permits_changed()
 
+    def _permitted_leader(self, group):
+        """Return the permits.Leader of a group, None without a valid permit.
+
+        No other database is promoted before this instance's permit has been revoked or
+        has lapsed.
+        """
+        self.renew_own_permits()
+        if not permits.is_valid(self.permits, boottime()):
+            return None
+        return self.permits.leaders.get(group)
+
     def revise_permits(self, version, leaders):
         """Apply a later version of the permitted primaries, which extends no permit.
 
@@ -504,9 +518,7 @@
         """Set whom the next round asks; one in flight goes on with those it asked."""
         names = tuple(self.quorum_names(state.name))
         state.fences.databases = names
-        state.fences.quorum = intersecting_quorum(
-            len(names), self.sync_replicas(state.name)
-        )
+        state.fences.quorum = fence_quorum(len(names), self.sync_replicas(state.name))
 
     def _apply_messages(self, state, messages):
         for message in messages:
@@ -527,9 +539,13 @@
     def _is_queried_first(self, state, name):
         """Return whether a round queries a database at once.
 
-        The primary and as many replicas as the quorum needs are queried first.
-        Replicas that recently did not answer come last in this order.
+        The primary and as many replicas as the quorum needs are queried first; none
+        if the primary is permitted. Replicas that recently did not answer come last in
+        this order.
         """
+        leader = self._permitted_leader(state.name)
+        if leader is not None and leader.database == state.primary:
+            return name == state.primary
         others = [item for item in state.fences.asked if item != state.primary]
         others.sort(key=lambda item: (self._unresponsive_until.get(item, 0.0), item))
         count = max(0, (state.fences.asked_quorum or 1) - 1)
@@ -564,6 +580,7 @@
         else:
             self._unresponsive_until.pop(query.database, None)
             status = as_vote(query.database, reported)
+        leader = self._permitted_leader(state.name)
         if state.fences.next_waiters:  # their round may start now
             self._update_fence_members(state)
         now = boottime()
@@ -576,6 +593,10 @@
                 query.database,
                 status,
                 FENCE_TIMEOUT_S,
+                is_permitted=status is not None
+                and leader is not None
+                and status.primary
+                and (status.database, status.term) == leader[:2],
             ),
         )
 
--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -119,6 +119,7 @@
             self.directory.evacuations.is_served = self._is_served_evacuations
         self.replacer = Replacer(self)
         self.exchange.granting = self.replacer.granting
+        self.groups.renew_own_permits = self.replacer.granting.renew_own
         self.acknowledgements.renew_own = self.replacer.granting.renew_own
         self.acknowledgements.needs_permit = self._needs_permit
         self.links = LinkServer(self._handle_call, self._link_closed, metrics)
--- a/dragonflywing/replacer.py
+++ b/dragonflywing/replacer.py
@@ -471,10 +471,11 @@
         return {n: s for n, s in statuses.items() if n not in self.groups.reborn}
 
     def _update_permit(self, group, primary, reachable, unanswered):
-        """Permit the confirmed primary while the roster's replicas receive its writes.
+        """Permit the confirmed primary, with the voters that count for its commits.
 
-        A database that isn't in the roster yet may otherwise be the only one that
-        holds an acknowledged write.
+        Instances of an earlier build ask no voters, so that a database outside the
+        roster may be the only one that holds a commit. If there are some, the roster's
+        replicas must receive the primary's writes.
         """
         if primary is None:
             return
@@ -487,7 +488,8 @@
         state = self._receiving.setdefault(group, replacement.HealthState(boottime()))
         replacement.record_positions(state, boottime(), primary.received, received)
         needs_replica = self.groups.sync_replicas(group) > 0 and len(roster) > 1
-        if state.is_behind or (needs_replica and not received):
+        is_unsafe = state.is_behind or (needs_replica and not received)
+        if is_unsafe and not all(x.has_voters for x in self.cluster.peers.values()):
             self.granting.withdraw(group)
             return
         known = self.granting.leader(group)
@@ -509,17 +511,13 @@
         )
 
     def _exclude(self, group):
-        """Exclude the databases of a group's roster that are no voters.
+        """Exclude the databases of a group's roster that are no voters in its permit.
 
-        Without a permit, only those are that aren't listed. Return whether some were
-        added.
+        Return whether some were added.
         """
         roster = self.groups.rosters.get(group, {}).keys()
         leader = self.granting.leader(group)
-        listed = {item.name for item in self.groups.members(group)}
-        return self.granting.exclude(
-            group, roster - (leader.voters if leader else listed)
-        )
+        return self.granting.exclude(group, roster - leader.voters if leader else set())
 
     def _voters(self, group, roster):
         """Return the databases of a roster that count for commits.
--- a/test/test_groups.py
+++ b/test/test_groups.py
@@ -1,12 +1,18 @@
 """Tests of which databases count for a quorum, and of restarted databases."""
 
 import asyncio
+import itertools
 
 import pytest
 
 from dragonflywing.clock import boottime
 from dragonflywing.decisions.floors import Floor
-from dragonflywing.decisions.positions import Position
+from dragonflywing.decisions.permits import Leader, Version
+from dragonflywing.decisions.positions import (
+    Position,
+    fence_quorum,
+    intersecting_quorum,
+)
 from dragonflywing.deployment import Database
 from dragonflywing.groups import STATUS_AGE_S, Groups
 from dragonflywing.metrics import Metrics
@@ -211,3 +217,63 @@
             assert groups.reborn == set()
 
         run(check())
+
+
+class TestFenceQuorum:
+    """STALE: in a group of two an old primary alone confirmed that it still led."""
+
+    # Databases that confirm a primary, by sync_replicas and the size of the group.
+    SIZES = {
+        0: [1, 2, 3, 4, 5, 6, 7],
+        1: [1, 2, 2, 3, 4, 5, 6],
+        2: [1, 2, 3, 3, 3, 4, 5],
+    }
+
+    @pytest.mark.parametrize("sync_replicas", SIZES)
+    def test_meets_each_write_quorum_and_what_each_replacement_has_paused(
+        self, sync_replicas
+    ):
+        for size, expected in enumerate(self.SIZES[sync_replicas], 1):
+            quorum = fence_quorum(size, sync_replicas)
+            assert quorum == expected
+            paused = intersecting_quorum(size, sync_replicas)
+            written = min(sync_replicas + 1, size)
+            for confirming in itertools.combinations(range(size), quorum):
+                for count in (paused, written):
+                    for others in itertools.combinations(range(size), count):
+                        assert set(confirming) & set(others)
+
+    @pytest.mark.parametrize(
+        ("leader", "valid_s", "granted"),
+        [
+            (None, 0.0, False),
+            (Leader("a", 1), 10.0, True),
+            (Leader("a", 1), 0.0, False),
+            (Leader("a", 2), 10.0, False),
+            (Leader("b", 2), 10.0, False),
+        ],
+    )
+    def test_a_group_of_two_needs_both_or_a_permit(self, leader, valid_s, granted):
+        async def check():
+            groups = Groups(None, Metrics())
+            groups.note_database(database("a", is_primary=True))
+            groups.note_database(database("b"))
+            groups.note_roster("orders", {"a": 1, "b": 1})
+            groups.note_primary("orders", "a", 1)
+            asked = []
+
+            async def status_of(name):
+                asked.append(name)
+                if name == "b":
+                    return None
+                return DatabaseStatus(True, 1, Position(1, 5), 0, 0.0, 0, 1)
+
+            groups.status_of = status_of
+            if leader is not None:
+                leaders, now = {"orders": leader}, boottime()
+                groups.note_permits(Version(7, 1), leaders, now, valid_s)
+            position = await groups.fence("orders")
+            assert position == (Position(1, 5) if granted else None)
+            assert asked == ["a"] if granted else set(asked) == {"a", "b"}
+
+        run(check())
