Count only the last known voters without a permit

An instance without a permit counted any database of the roster for a commit, also one that the holder had begun to exclude because it isn't listed. The roster then shrinks once others hold what the primary had at that time, and a commit that was confirmed with the excluded database after that could be lost with the primary.

Without a permit an instance counts the voters of the last one. The holder excludes only while a permit names the voters, and waits 4 s longer than the permits last for an instance that doesn't confirm. One that is cut off for longer than that still may count the database (docs/design/voters.md).

--- a/dragonflywing/acknowledgements.py
+++ b/dragonflywing/acknowledgements.py
@@ -237,27 +237,32 @@
             task = asyncio.create_task(self._ask_databases(group))
             self._rounds[group] = task
         witnesses, trusted_before = await asyncio.shield(task)
-        sync_replicas = self.groups.sync_replicas(group)
-        return permits.is_confirmed(position, witnesses, trusted_before, sync_replicas)
+        counted = permits.counted_without_permit(self.groups.permits, group, witnesses)
+        return permits.is_confirmed(
+            position,
+            [witnesses[name] for name in counted],
+            trusted_before,
+            self.groups.sync_replicas(group),
+        )
 
     async def _ask_databases(self, group):
-        """Return the Witnesses of a group's roster, and since when they are trusted.
+        """Return a group's Witnesses by name, and since when they are trusted.
 
         A permit that arrives meanwhile says nothing of answers from before it.
         """
         trusted_before = permits.trusted_before(self.groups.permits, group)
         roster = self.groups.rosters.get(group) or self.groups.quorum_names(group)
-        names = set(roster) - self.groups.reborn
+        names = list(set(roster) - self.groups.reborn)
         answers = await asyncio.gather(*[self.groups.status_of(name) for name in names])
         now = boottime()
-        witnesses = [
-            permits.Witness(
+        witnesses = {
+            name: permits.Witness(
                 status.is_primary,
                 max(status.term, status.promised_term),
                 status.received,
                 now - status.connected_s,
             )
-            for status in answers
+            for name, status in zip(names, answers, strict=True)
             if status is not None
-        ]
+        }
         return witnesses, trusted_before
--- a/dragonflywing/decisions/permits.py
+++ b/dragonflywing/decisions/permits.py
@@ -20,7 +20,8 @@
 and enough others have received all that its primary held then.
 
 Without a permit, as while the store is away, a commit is confirmed by the databases
-themselves: enough replicas of the roster hold it, and none has been paused. A replica
+themselves: enough of the voters that the instance knew last hold it, and none has been
+paused. A replica
 that has restarted may have forgotten a pause, so only an answer over a connection
 counts that was open when the instance last had a permit.
 
@@ -37,6 +38,9 @@
 # second; in a large fleet permits pass a relay, which asks twice a second too.
 PERMIT_S = 1.0
 RELAYED_PERMIT_S = 1.6
+# How much longer an instance that hasn't confirmed it may count an excluded database,
+# without a permit. With this a database counts as long as one that is no longer listed.
+ALONE_S = 4.0
 
 
 class Version(NamedTuple):
@@ -77,7 +81,8 @@
     They cover the primaries in `leaders`, {group: Leader}, and were given for
     `valid_s` at `granted_at`, the time of the instance's own question. `is_direct` says
     whether the holder of the duty itself gave them. `covered_at` is the latest time at
-    which each group was known to have no replacement under way.
+    which each group was known to have no replacement under way. `voters` has those of
+    each group's last known permit, None from a holder of an earlier build.
     """
 
     def __init__(self):
@@ -87,6 +92,13 @@
         self.valid_s = 0.0
         self.is_direct = False
         self.covered_at = {}
+        self.voters = {}
+
+
+def _set_leaders(state, version, leaders):
+    state.version, state.leaders = version, dict(leaders)
+    for group, leader in leaders.items():
+        state.voters[group] = leader.voters
 
 
 def apply(state, version, leaders, granted_at, valid_s, is_direct=True):
@@ -98,7 +110,7 @@
         return False
     is_newer = version > state.version
     if is_newer:
-        state.version, state.leaders = version, dict(leaders)
+        _set_leaders(state, version, leaders)
     if is_newer or granted_at > state.granted_at:
         state.granted_at, state.valid_s = granted_at, valid_s
         state.is_direct = is_direct
@@ -118,7 +130,7 @@
         return False
     if version.token != state.version.token:
         state.granted_at = -math.inf
-    state.version, state.leaders = version, dict(leaders)
+    _set_leaders(state, version, leaders)
     return True
 
 
@@ -184,11 +196,17 @@
     return state.covered_at.get(group, -math.inf)
 
 
+def counted_without_permit(state, group, roster):
+    """Return the databases of a roster that count for commits without a permit."""
+    voters = state.voters.get(group)
+    return set(roster) if voters is None else set(roster) & voters
+
+
 def is_confirmed(position, witnesses, connected_before, sync_replicas):
     """Return whether databases confirm a commit that their primary acknowledged.
 
     Every replacement pauses one of the confirming databases or has it step down, and
-    finds the commit in its log. `witnesses` are databases of the group's roster.
+    finds the commit in its log. `witnesses` are those of `counted_without_permit`.
     """
     if any(item.term > position.term for item in witnesses):
         return False
@@ -239,14 +257,16 @@
     """Begin to exclude those databases of a group that its permit has not as voters.
 
     Of others the exclusion ends. Return the Revocation that says when no instance
-    counts those any more that were added, None if there are none.
+    counts those any more that were added, None if there are none. Without a permit
+    that names the voters none are.
     """
     leader = state.leaders.get(group)
+    if leader is None or leader.voters is None:
+        return None
     for key in [x for x in state.excluded if x[0] == group and x[1] not in databases]:
         del state.excluded[key]
-    added = {name for name in databases if (group, name) not in state.excluded}
-    if leader is not None:
-        added -= leader.voters if leader.voters is not None else added
+    known = {name for item, name in state.excluded if item == group}
+    added = databases - known - leader.voters
     if not added:
         return None
     revocation = Revocation(state, data_centres, now)
@@ -259,7 +279,7 @@
     return {
         name
         for (item, name), revocation in state.excluded.items()
-        if item == group and revocation.wait_s(now) <= 0
+        if item == group and revocation.wait_s(now, ALONE_S) <= 0
     }
 
 
@@ -312,6 +332,10 @@
         ends = [self.lapses_at.get(x, -math.inf) for x in [name, *passing]]
         return max(self.earlier_lapse_at, *ends)
 
-    def wait_s(self, now):
-        """Return the seconds until all permits that aren't confirmed have lapsed."""
-        return max((self.lapse_at(name) - now for name in self.pending), default=0.0)
+    def wait_s(self, now, alone_s=0.0):
+        """Return the seconds until all permits that aren't confirmed have lapsed.
+
+        They may count for `alone_s` longer.
+        """
+        ends = [self.lapse_at(name) + alone_s - now for name in self.pending]
+        return max(ends, default=0.0)
--- a/dragonflywing/granting.py
+++ b/dragonflywing/granting.py
@@ -108,7 +108,8 @@
         if revocation is not None:
             self.renew_own()
             revocation.confirm(self.settings.instance, now, self._left_s())
-            spawn(self._tasks, self._await(revocation, self._pack()))
+            waiting = self._await(revocation, self._pack(), permits.ALONE_S)
+            spawn(self._tasks, waiting)
         return revocation is not None
 
     def excluded(self, group):
@@ -157,14 +158,17 @@
             lapsed=logs.join(revocation.pending),
         )
 
-    async def _await(self, revocation, body):
-        """Return once no instance relies on revoked permits any more."""
-        while revocation.wait_s(boottime()) > 0:
-            await self._tell_pending(revocation, body)
-            left_s = revocation.wait_s(boottime())
+    async def _await(self, revocation, body, alone_s=0.0):
+        """Return once no instance relies on revoked permits any more.
+
+        They may do so for `alone_s` after these have lapsed.
+        """
+        while revocation.wait_s(boottime(), alone_s) > 0:
+            await self._tell_pending(revocation, body, alone_s)
+            left_s = revocation.wait_s(boottime(), alone_s)
             await asyncio.sleep(min(REVOKE_RETRY_S, max(0.0, left_s)))
 
-    async def _tell_pending(self, revocation, body):
+    async def _tell_pending(self, revocation, body, alone_s):
         """Tell the instances that have not confirmed yet, until none has a permit."""
         calls = {
             asyncio.create_task(self._tell(name, body, REVOKE_TIMEOUT_S)): name
@@ -172,10 +176,10 @@
         }
         waiting = set(calls)
         try:
-            while waiting and revocation.wait_s(boottime()) > 0:
+            while waiting and revocation.wait_s(boottime(), alone_s) > 0:
                 done, waiting = await asyncio.wait(
                     waiting,
-                    timeout=revocation.wait_s(boottime()),
+                    timeout=revocation.wait_s(boottime(), alone_s),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 for call in done:
