--- a/test/platform/test_hand_overs.py
+++ b/test/platform/test_hand_overs.py
@@ -408,6 +408,8 @@
             await asyncio.sleep(3)
             await self.trim()
             await asyncio.sleep(1)
+        # An order whose database has ended is awaited for 8 s before the next one.
+        await self.wait_for_leader()
         for task in writers:
             task.cancel()
         broken = self.find_broken()
