--- a/test/test_pacing.py
+++ b/test/test_pacing.py
@@ -20,7 +20,7 @@
 from dragonflywing.router import pack_answer
 from test.helper import run_on_simulated_clock
 
-STATEMENT_S = 0.01
+STATEMENT_S, OPENING_S = 0.01, 0.012
 COLD_PER_S, OVER, SLACK = 10.0, 1.5, 5.0
 
 
@@ -41,7 +41,7 @@
 class SlowAdapter:
     """The part of the databases adapter and its connections that a home uses.
 
-    Each statement takes `STATEMENT_S`.
+    Each statement takes `STATEMENT_S`, each opening of a connection `OPENING_S`.
     """
 
     RESET, ROLLBACK, BEGIN, STATUS = "RESET", "ROLLBACK", "BEGIN", "STATUS"
@@ -60,7 +60,7 @@
     async def connect(self, database, workspace):
         self.opening += 1
         self.most_opening = max(self.most_opening, self.opening)
-        await asyncio.sleep(0.012)
+        await asyncio.sleep(OPENING_S)
         self.opening -= 1
         return SimpleNamespace(
             run=self.run,
@@ -302,6 +302,9 @@
 
         instance.adapter.connect = refuse
         await send(home, 100, 1, timeout=0.02)
+        # The last opening may outlast its caller.
+        assert home.pacer.state.connecting == instance.adapter.opening
+        await asyncio.sleep(OPENING_S)
         assert home.pacer.state.connecting == 0
         instance.adapter.connect = connect
         answers = await send(home, 10, 3)
