Let a stopping instance wait for statements that run there

Cause: an instance without callers ended as soon as no home listed an open transaction, and a transaction isn't listed while a statement of it waits or runs. Statements now count from their arrival to their answer, also while they wait for a fence or a slot.

--- a/dragonflywing/node.py
+++ b/dragonflywing/node.py
@@ -498,8 +498,7 @@
             for conn in list(callers.connections):
                 if conn.is_idle():
                     conn.close()
-            homes = self.groups.homes.values()
-            if not callers.connections and not any(h.transactions for h in homes):
+            if not callers.connections and not self.router.is_in_use():
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         await release
--- a/dragonflywing/router.py
+++ b/dragonflywing/router.py
@@ -67,6 +67,7 @@
         self.paces = {}  # {database: (reported_at, limit)}
         self._failing = {}  # {database: (reported_at, share)}
         self._local_origin = object()
+        self._running = 0  # statements that this instance runs or keeps waiting
         self._tasks = set()
 
     def now(self):
@@ -159,6 +160,21 @@
 
     async def run_locally(self, req, origin):
         """Run a statement at this instance; return (answer, handle, home)."""
+        self._running += 1
+        try:
+            return await self._run_locally(req, origin)
+        finally:
+            self._running -= 1
+
+    def is_in_use(self):
+        """Return whether a statement runs or a transaction is open at this instance.
+
+        A transaction isn't listed while a statement of it runs.
+        """
+        homes = self.groups.homes.values()
+        return bool(self._running) or any(home.transactions for home in homes)
+
+    async def _run_locally(self, req, origin):
         home = self.groups.home(req.database)
         own_instance = self.settings.instance
         if home is None:
--- a/test/platform/test_path.py
+++ b/test/platform/test_path.py
@@ -459,6 +459,31 @@
             other = await deployment.connect("front-1", "orders")
             assert (await other.query("READ b"))[1][0].endswith(":2")
 
+    def test_keeps_transactions_of_other_instances_callers(self, tmp_path):
+        # DRAIN: ended after 2.2 s, while a statement of such a transaction ran.
+        run(self._check_transaction_at_home(tmp_path))
+
+    async def _check_transaction_at_home(self, tmp_path):
+        async with deployed(tmp_path, 2) as deployment:
+            for database in deployment.group.databases.values():
+                database.work_s = 0.09
+            caller = await deployment.connect("front-0", "orders")
+            assert (await caller.query("WRITE a 0"))[0] == ""
+            await asyncio.sleep(0.3)
+            home = re.findall(r" home=(\S+)", deployment.log_of("front-0"))[-1]
+            other = {"front-0": "front-1", "front-1": "front-0"}[home]
+            caller.close()
+            caller = await deployment.connect(other, "orders")
+            await caller.query("BEGIN")
+            assert (await caller.query("WRITE a 1"))[0] == ""
+            process, loop = deployment.processes[home], asyncio.get_running_loop()
+            process.send_signal(signal.SIGTERM)
+            stopped_at = loop.time()
+            while loop.time() < stopped_at + 2.7:  # of the 3 s that it has
+                assert (await caller.query("WRITE a 2"))[0] == ""
+            assert (await caller.query("COMMIT"))[0] == ""
+            assert await asyncio.wait_for(process.wait(), 6) == 0
+
     def test_cuts_no_statement_that_a_database_runs(self, tmp_path):
         # LOST: at the end of a planned stop such statements got no answer.
         run(self._check_transactions(tmp_path))
