Limit and charge what sessions of the users' platform keep

Cause: the memory budget charges a message until it is answered; what a session keeps of it, its copies for each forwarded statement and those of pooled connections were charged to nobody. Values, prepared statements and the key of a session are charged now, with a limit for each session, workspace and process; without room SET and PREPARE are refused as not run. Pooled connections hold no long texts, and close their oldest prepared statements.

--- a/dragonflywing/connection_pool.py
+++ b/dragonflywing/connection_pool.py
@@ -12,6 +12,7 @@
 from dragonflywing.decisions.pace import Result
 from dragonflywing.outcomes import Refusal
 from dragonflywing.ports import ConnectionFailed, ConnectionRefused
+from dragonflywing.session_state import ConnectionState
 
 # Fraction of a database's connection limit that its first home may use. The rest
 # is left for control connections and for instances that can't reach that home.
@@ -67,11 +68,15 @@
     def __init__(self, conn, workspace, now):
         self.conn = conn
         self.workspace = workspace
-        self.values = {}
-        self.prepared = {}
+        self.state = ConnectionState(workspace)
         self.used_at = now
         self.is_running = False  # a statement that was given it by `reserve`
 
+    def close(self):
+        """Close the connection."""
+        self.state.clear()
+        self.conn.close()
+
 
 class Grant(NamedTuple):
     """What a statement runs on: a connection, or None if it may open one.
@@ -84,35 +89,6 @@
     end_connect: Callable | None = None
 
 
-def missing_state(pooled, values, prepared):
-    """Return how many statements would set a caller's session state on a connection."""
-    if pooled.values.keys() - values.keys():
-        return 1 + len(values) + len(prepared)
-    missing = sum(pooled.values.get(name) != value for name, value in values.items())
-    return missing + len(prepared.keys() - pooled.prepared.keys())
-
-
-def session_statements(adapter, pooled, values, prepared):
-    """Return the statements that set a caller's session state on a connection.
-
-    Records the new state in `pooled`.
-    """
-    statements = []
-    current_values, current_prepared = pooled.values, pooled.prepared
-    if current_values.keys() - values.keys():
-        statements.append(adapter.RESET)
-        current_values, current_prepared = {}, {}
-    for name, value in values.items():
-        if current_values.get(name) != value:
-            statements.append(adapter.set_value(name, value))
-    for name, definition in prepared.items():
-        if name not in current_prepared:
-            statements.append(adapter.prepare(name, definition))
-    pooled.values = dict(values)
-    pooled.prepared = {**current_prepared, **prepared}
-    return statements
-
-
 class ConnectionPool:
     """The open connections to one database.
 
@@ -205,7 +181,7 @@
                 self.pacer.note_round_trip(started_at)
         except (TimeoutError, ConnectionFailed):
             return False
-        pooled.values, pooled.prepared = {}, {}
+        pooled.state.clear()
         return not answer.code
 
     def _is_fresh(self, pooled):
@@ -344,7 +320,7 @@
             # Of equals the one used last, so that the others can be closed.
             pooled = min(
                 reversed(own),
-                key=lambda item: missing_state(item, req.values, req.prepared),
+                key=lambda item: item.state.missing(req.values, req.prepared),
             )
             self.idle.remove(pooled)
             pooled.is_running = True
@@ -440,7 +416,7 @@
                     return grant.pooled
             # Its place is kept for the connection that is opened instead.
             self.metrics.count("database.stale_connection")
-            grant.pooled.conn.close()
+            grant.pooled.close()
         workspace, end_connect = grant.workspace, grant.end_connect
         pooled = None
         try:
@@ -493,7 +469,7 @@
     def discard(self, pooled):
         """Close a connection that is not among the idle ones."""
         self.keep(pooled)
-        pooled.conn.close()
+        pooled.close()
         self._count_connection(pooled.workspace, -1)
 
     def close(self):
--- a/dragonflywing/decisions/memory_budget.py
+++ b/dragonflywing/decisions/memory_budget.py
@@ -22,6 +22,14 @@
 ANSWERS_FRACTION = 0.15  # in addition, which only answers may use
 SMALL_FRACTION = 0.25  # for what connections hold without one
 WORKSPACE_FRACTION = 0.75  # of the reservations, for a single workspace
+# Part of the reservations for what outlasts messages, such as the values of sessions,
+# and a single workspace's part of that. Messages can always use the rest.
+KEPT_FRACTION = 0.25
+KEPT_WORKSPACE_FRACTION = 0.5
+# What a session may keep whatever the others do, so that ordinary ones never are
+# refused. Their number is limited by the descriptors.
+KEPT_FREE_BYTES = 4 << 10
+ENTRY_BYTES = 256  # of a name and its value, beside the two texts
 # Rate below which a message or an answer doesn't count as progressing once its time
 # limit has passed: 1 MiB takes at most 64 s more. The slowest lines in use are faster.
 MIN_BYTES_PER_S = 16 << 10
@@ -66,26 +74,42 @@
         self.begun_at = self.progressed_at = 0.0
 
 
+class Kept:
+    """What one session or pooled connection keeps between messages; `size` in bytes."""
+
+    __slots__ = ("workspace", "size")
+
+    def __init__(self, workspace=""):
+        self.workspace = workspace
+        self.size = 0
+
+
 class Budget:
-    """Bytes that all connections together may hold; None for no limit."""
+    """Bytes that all connections together may hold; None for no limit.
+
+    `reserved` includes `kept`, which has a limit of its own.
+    """
 
     def __init__(self, memory_bytes=None, resident_bytes=0):
-        self.limit = self.answer_limit = self.small_limit = None
+        self.limit = self.answer_limit = self.small_limit = self.kept_limit = None
         if memory_bytes is not None:
             room = max(0, memory_bytes - resident_bytes)
             self.limit = int(room * RESERVED_FRACTION)
             self.answer_limit = self.limit + int(room * ANSWERS_FRACTION)
             self.small_limit = int(room * SMALL_FRACTION)
+            self.kept_limit = int(self.limit * KEPT_FRACTION)
         self.reserved = 0
         self.by_workspace = {}
+        self.kept = 0
+        self.kept_by_workspace = {}
 
 
 def fits(budget, claim, size):
     """Return whether `size` more bytes may be reserved.
 
-    A message that is larger than the whole budget fits while nothing else is held.
+    A message that is larger than the whole budget fits while no other one is held.
     """
-    if budget.limit is None or budget.reserved == claim.held:
+    if budget.limit is None or budget.reserved - budget.kept == claim.held:
         return True
     if budget.reserved + size > budget.limit:
         return False
@@ -108,6 +132,29 @@
             budget.by_workspace.pop(claim.workspace, None)
 
 
+def may_keep(budget, kept, size):
+    """Return whether a session may keep `size` bytes from now on, more or fewer."""
+    if budget.kept_limit is None or size <= max(kept.size, KEPT_FREE_BYTES):
+        return True
+    change = size - kept.size
+    used = budget.kept_by_workspace.get(kept.workspace, 0)
+    share = budget.kept_limit * KEPT_WORKSPACE_FRACTION
+    return budget.kept + change <= budget.kept_limit and used + change <= share
+
+
+def keep(budget, kept, size):
+    """Note that `size` bytes are kept from now on, even if they don't fit."""
+    change = size - kept.size
+    kept.size = size
+    budget.kept += change
+    budget.reserved += change
+    used = budget.kept_by_workspace.get(kept.workspace, 0) + change
+    if used:
+        budget.kept_by_workspace[kept.workspace] = used
+    else:
+        budget.kept_by_workspace.pop(kept.workspace, None)
+
+
 def set_workspace(budget, claim, workspace):
     """Charge what a claim holds to a workspace from now on."""
     held = claim.held
--- a/dragonflywing/homes.py
+++ b/dragonflywing/homes.py
@@ -18,14 +18,13 @@
 from dragonflywing.connection_pool import (
     CLOSED_TEXT,
     ConnectionPool,
-    missing_state,
-    session_statements,
 )
 from dragonflywing.control import STATUS_TIMEOUT_S, ControlConnection
 from dragonflywing.decisions import evacuation
 from dragonflywing.outcomes import Refusal
 from dragonflywing.pacing import LOST, Pacer
 from dragonflywing.ports import Answer, ConnectionFailed
+from dragonflywing.session_state import charged
 from dragonflywing.slot_queue import SlotQueue
 from dragonflywing.supervisor import spawn
 from dragonflywing.transactions import Transaction, Transactions
@@ -141,7 +140,7 @@
     async def _charge_session(self, pooled, req, deadline, count=0):
         """Take tokens for a transaction's statement or those that set its session."""
         if self.pacer.gate is not None:
-            count += missing_state(pooled, req.values, req.prepared)
+            count += pooled.state.missing(req.values, req.prepared)
             if not await self.pacer.charge(count, deadline - self._now()):
                 text = self.slots.retry_text("the database is cold")
                 raise Refusal(outcomes.OVERLOADED, text)
@@ -369,13 +368,16 @@
         return req.text
 
     async def _prepare_session(self, pooled, req):
-        statements = session_statements(self.adapter, pooled, req.values, req.prepared)
-        for text in statements:
-            pooled.conn.send("-", text)
-        for text in statements:
-            answer = await pooled.conn.receive()
-            if answer.code:
-                raise ConnectionFailed(f"{text.split(' ')[0]}: {answer.code}")
+        statements = pooled.state.statements(self.adapter, req.values, req.prepared)
+        if not statements:
+            return
+        with charged(statements, pooled.workspace):
+            for text in statements:
+                pooled.conn.send("-", text)
+            for text in statements:
+                answer = await pooled.conn.receive()
+                if answer.code:
+                    raise ConnectionFailed(f"{text.split(' ')[0]}: {answer.code}")
 
     async def _open_transaction(self, pooled, req, floor):
         if not req.opening:
--- a/dragonflywing/load/crowds.py
+++ b/dragonflywing/load/crowds.py
@@ -135,6 +135,26 @@
     await send(writer, STARTUP + lines.encode("QUERY", "r", "READ small") * 100_000)
 
 
+async def keep_values(reader, writer):
+    await send(writer, STARTUP)
+    for number in range(20):
+        await send(writer, b"QUERY s SET v%d " % number + LARGE + lines.LINE_END)
+        await send(writer, lines.encode("QUERY", "r", "READ small"))
+
+
+async def keep_prepared(reader, writer):
+    await send(writer, STARTUP)
+    for number in range(20):
+        name = b"p%d" % number
+        definition = b" READ " + LARGE + name + lines.LINE_END
+        await send(writer, b"QUERY s PREPARE " + name + definition)
+        await send(writer, b"QUERY r EXECUTE " + name + b" small" + lines.LINE_END)
+
+
+async def send_long_key(reader, writer):
+    await send(writer, b"STARTUP orders " + LARGE + lines.LINE_END)
+
+
 async def send_frame(reader, writer):
     await send(writer, FRAME[:-1])
 
@@ -259,6 +279,19 @@
     await send(writer, mysql_query("SELECT 1") * 20_000)
 
 
+async def keep_mysql_statements(reader, writer):
+    for number in range(20):
+        sql = f"SELECT '{number}{LARGE.decode()}'"
+        await send(writer, mysql_packet(b"\x16" + sql.encode()))
+
+
+async def keep_mysql_parameters(reader, writer):
+    for number in range(20):  # statements are numbered from 0
+        await send(writer, mysql_packet(b"\x16SELECT ?"))
+        header = struct.pack("<BIH", 0x18, number, 0)
+        await send(writer, mysql_packet(header + LARGE))
+
+
 KINDS = {
     "unfinished": send_unfinished,
     "small_pieces": send_small_pieces,
@@ -268,6 +301,9 @@
     "reads_unread": leave_reads_unread,
     "read_slowly": read_slowly,
     "pipeline_small": pipeline_small,
+    "values": keep_values,
+    "prepared": keep_prepared,
+    "long_key": send_long_key,
     "nothing": send_nothing,
     "sessions": open_session,
     "startup_slowly": send_startup_slowly,
@@ -279,6 +315,8 @@
     "write_unread": leave_mysql_write_unread,
     "reads_unread": leave_mysql_reads_unread,
     "pipeline_small": pipeline_small_queries,
+    "prepared": keep_mysql_statements,
+    "parameters": keep_mysql_parameters,
     "sessions": send_nothing,
 }
 # These don't log in.
--- a/dragonflywing/metering.py
+++ b/dragonflywing/metering.py
@@ -163,6 +163,19 @@
             memory_budget.add(self.budget, claim, -size)
             self._grant()
 
+    def keep(self, kept, size, is_forced=False):
+        """Note how many bytes are kept from now on; return False if they don't fit.
+
+        They are noted in any case if `is_forced`.
+        """
+        if not is_forced and not memory_budget.may_keep(self.budget, kept, size):
+            return False
+        is_less = size < kept.size
+        memory_budget.keep(self.budget, kept, size)
+        if is_less:
+            self._grant()
+        return True
+
     def _grant(self):
         for waiter in list(self._waiters):
             claim, size, fut = waiter
@@ -224,7 +237,7 @@
     def _is_quiet(self):
         """Return whether connections hold so little that sweeps may be rare."""
         budget = self.budget
-        if self._waiters or budget.reserved:
+        if self._waiters or budget.reserved > budget.kept:
             return False
         if len(self.connections) > MAX_QUIET_CONNECTIONS:
             return False
--- a/dragonflywing/platform/callers.py
+++ b/dragonflywing/platform/callers.py
@@ -5,6 +5,7 @@
 
 from dragonflywing import logs, metering, outcomes, sessions, supervisor
 from dragonflywing.decisions import memory_budget
+from dragonflywing.outcomes import Refusal
 from dragonflywing.platform import lines
 from dragonflywing.platform.databases import OUTCOMES
 
@@ -170,28 +171,38 @@
         async with asyncio.timeout(STARTUP_TIMEOUT_S):
             line, held = await self._read_line()
         route_name, key = lines.parse_startup(line)
-        self.metered.release(held)
         await self.node.wait_started()
-        session = sessions.Session(self.node, route_name, key)
+        try:
+            session = sessions.Session(self.node, route_name, key)
+        except Refusal as exc:
+            self.refuse(exc.text)
+            return
+        finally:
+            self.metered.release(held)
+        try:
+            if self._begin(session):
+                await self._serve_statements()
+        finally:
+            session.close()
+
+    def _begin(self, session):
+        """Answer the start of a session; return whether it was accepted."""
         code = session.check_access()
         if code:
             self.node.metrics.count(f"refused.startup.{code}")
             logs.event(
                 "startup_refused",
-                route=route_name,
+                route=session.route_name,
                 code=code,
                 version=self.node.directory.version(),
                 age_s=self.node.directory.confirmation_age(),
             )
             self._write(lines.encode("ERROR", CODES[code], "startup refused"))
-            return
+            return False
         self.session = session
         self.metered.set_workspace(session.workspace)
         self._write(lines.encode("READY", lines.IDLE, "-"))
-        try:
-            await self._serve_statements()
-        finally:
-            session.roll_back()
+        return True
 
     def _write(self, data):
         if self.writer.is_closing():
--- a/dragonflywing/platform/databases.py
+++ b/dragonflywing/platform/databases.py
@@ -215,6 +215,11 @@
     return f"PREPARE {name} {definition}"
 
 
+def close_prepared(name):
+    """Return the statement that drops a prepared statement."""
+    return f"CLOSE {name}"
+
+
 def execute(name, arguments):
     """Return the statement that runs a prepared statement."""
     return f"EXECUTE {name} {arguments}"
--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -13,6 +13,8 @@
 from dragonflywing.decisions import regions, retries, stopping
 from dragonflywing.decisions.positions import Position
 from dragonflywing.errors import Verdict
+from dragonflywing.outcomes import Refusal
+from dragonflywing.session_state import SessionState
 
 # States of a session, sent to the caller with each answer.
 IDLE = "idle"
@@ -88,8 +90,7 @@
         self.route_name = route_name
         self.key = key
         self.workspace = None
-        self.values = {}
-        self.prepared = {}
+        self.kept = SessionState((route_name, key))
         self.transaction = None
         self.failed = False
         self.floor = Position(0, 0)
@@ -119,7 +120,9 @@
         if self.workspace not in (None, workspace):
             # The key was reassigned to another workspace during the session.
             return outcomes.BAD_KEY
-        self.workspace = workspace
+        if self.workspace is None:
+            self.workspace = workspace
+            self.kept.set_workspace(workspace)
         return outcomes.OK
 
     def route(self):
@@ -196,15 +199,22 @@
         return self._reply(outcomes.MALFORMED, "unknown statement")
 
     async def _set(self, op):
-        self.values[op.name] = op.value
-        return self._reply()
+        return self._keep(self.kept.set_value, op)
 
     async def _prepare(self, op):
-        self.prepared[op.name] = op.value
+        return self._keep(self.kept.prepare, op)
+
+    def _keep(self, keep, op):
+        """Change what the session keeps; without room its transaction ends."""
+        try:
+            keep(op.name, op.value)
+        except Refusal as exc:
+            self._fail()
+            return self._reply(*self._log_refusal(op.statement_id, exc.code, exc.text))
         return self._reply()
 
     async def _close_prepared(self, op):
-        self.prepared.pop(op.name, None)
+        self.kept.close_prepared(op.name)
         return self._reply()
 
     async def _begin(self, op):
@@ -220,6 +230,11 @@
         self.roll_back()
         return self._reply()
 
+    def close(self):
+        """End the session; its transaction is rolled back."""
+        self.roll_back()
+        self.kept.close()
+
     def roll_back(self):
         """Roll back the transaction, also when the caller has disconnected."""
         transaction, self.transaction = self.transaction, None
@@ -241,7 +256,7 @@
         return self._reply(answer.code, answer.text, answer.rows, answer.position)
 
     async def _execute(self, op):
-        definition = self.prepared.get(op.name)
+        definition = self.kept.prepared.get(op.name)
         if definition is None:
             self._fail()
             return self._reply(outcomes.UNKNOWN_STATEMENT, op.name)
@@ -332,6 +347,16 @@
         if code:
             self._log_refusal(op.statement_id, code, "route or key")
             return self.node.router.failure(code, "route or key")
+        if not self.kept.is_large():  # nearly all
+            return await self._forward_admitted(op, kind, text, prepared)
+        try:
+            async with self.kept.forwarding():
+                return await self._forward_admitted(op, kind, text, prepared)
+        except Refusal as exc:
+            self._log_refusal(op.statement_id, exc.code, exc.text)
+            return self.node.router.failure(exc.code, exc.text)
+
+    async def _forward_admitted(self, op, kind, text, prepared):
         if self.transaction is not None and self.transaction.handle:
             return await self._forward_in_transaction(op, kind, text, prepared)
         return await self._forward_with_retries(op, kind, text, prepared)
@@ -343,7 +368,7 @@
             statement_id=op.statement_id,
             text=text,
             kind=kind,
-            values=self.values,
+            values=self.kept.values,
             prepared=prepared,
             timeout=timeout_s,
             priority=self.route().priority,
--- a/dragonflywing/transactions.py
+++ b/dragonflywing/transactions.py
@@ -73,4 +73,4 @@
     def close(self):
         """Close the connections of all transactions."""
         for transaction in self.by_handle.values():
-            transaction.pooled.conn.close()
+            transaction.pooled.close()
--- a/test/platform/test_crowds.py
+++ b/test/platform/test_crowds.py
@@ -71,12 +71,34 @@
             (60, crowds.leave_reads_unread),
             (60, crowds.read_slowly),
             (60, crowds.pipeline_small),
+            (60, crowds.keep_values),
+            (60, crowds.keep_prepared),
+            (100, crowds.send_long_key),
         ],
     )
     def test_callers_stay_under_the_limit(self, tmp_path, clients, behave):
         limits = {"memory_mb": MEMORY_MB, "max_fds": 512}
         run(_check(tmp_path, clients, behave, 0, limits))
 
+    def test_values_stay_under_the_limit_at_each_home(self, tmp_path):
+        run(self._check_homes(tmp_path))
+
+    async def _check_homes(self, tmp_path):
+        limits = {"memory_mb": MEMORY_MB, "max_fds": 512}
+        async with deployed(tmp_path, instances=3, limits=limits) as deployment:
+            usages = [crowds.Usage(x.pid) for x in deployment.processes.values()]
+            first = deployment.processes["front-0"]
+            port = deployment.address_ports("front-0")[0]
+            await crowds.run_crowd(
+                first.pid, 30, lambda: crowds.open_unread(port), crowds.keep_values
+            )
+            await _wait_served(deployment)
+            found = [usage.memory_mb() for usage in usages]
+            print("VmHWM MB:", found)
+            ends = [x.returncode for x in deployment.processes.values()]
+            assert ends == [None] * 3, "a process has ended"
+            assert max(found) <= MEMORY_MB, found
+
     def test_frames_stay_under_the_limit(self, tmp_path):
         limits = {"memory_mb": MEMORY_MB, "max_fds": 512}
         run(_check(tmp_path, 24, crowds.send_frame, 2, limits))
--- a/test/test_contended_homes.py
+++ b/test/test_contended_homes.py
@@ -226,7 +226,7 @@
         await asyncio.gather(*(run(home) for _ in range(8)))
         assert len(home.idle) > 1
         fitting = home.idle[0]
-        fitting.values = {"zone": "utc"}
+        fitting.state.values = {"zone": "utc"}
         home.adapter.statements.clear()
         await run(home, "r9", values={"zone": "utc"})
         assert home.idle[-1] is fitting
--- a/test/test_homes.py
+++ b/test/test_homes.py
@@ -9,11 +9,7 @@
 import pytest
 
 from dragonflywing import outcomes
-from dragonflywing.connection_pool import (
-    PooledConnection,
-    max_connections_for,
-    session_statements,
-)
+from dragonflywing.connection_pool import max_connections_for
 from dragonflywing.deployment import Database
 from dragonflywing.homes import Home
 from dragonflywing.links import idl
@@ -39,29 +35,6 @@
         assert counts[-1] == max_connections_for(16, None, False)
 
 
-class TestSessionState:
-    def _pooled(self, values, prepared):
-        pooled = PooledConnection(None, "press", 0.0)
-        pooled.values, pooled.prepared = values, prepared
-        return pooled
-
-    def test_same_state_needs_no_statements(self):
-        pooled = self._pooled({"a": "1"}, {"p1": "READ x"})
-        statements = session_statements(databases, pooled, {"a": "1"}, {"p1": "READ x"})
-        assert statements == []
-
-    def test_changed_values_are_set(self):
-        pooled = self._pooled({"a": "1"}, {})
-        statements = session_statements(databases, pooled, {"a": "2", "b": "3"}, {})
-        assert statements == ["SET a 2", "SET b 3"]
-        assert pooled.values == {"a": "2", "b": "3"}
-
-    def test_removed_value_resets_the_connection(self):
-        pooled = self._pooled({"a": "1", "b": "2"}, {"p1": "READ x"})
-        statements = session_statements(databases, pooled, {"a": "1"}, {"p1": "READ x"})
-        assert statements == ["RESET", "SET a 1", "PREPARE p1 READ x"]
-
-
 class FakeConnection:
     """A connection whose statements wait until the test lets them run."""
 
