--- a/dragonflywing/wire.py
+++ b/dragonflywing/wire.py
@@ -9,6 +9,7 @@
 import asyncio
 import io
 import struct
+import sys
 import traceback
 from datetime import date, datetime, timedelta
 from typing import NamedTuple
@@ -39,6 +40,9 @@
 from dragonflywing.errors import DfwError, Verdict
 
 MAX_PREPARED_STATEMENTS = 1024  # per connection
+# What the prepared statements of a connection hold, with parameters sent in advance.
+MAX_PREPARED_BYTES = 16 << 20
+TEXT_COPIES = 2  # of a prepared statement: its text, and the parts between parameters
 MAX_HANDSHAKE_BYTES = 64 << 10  # names, a password and attributes of the connection
 MAX_NAME_BYTES = 1024  # user, schema or plugin; the library's parser is quadratic
 HANDSHAKE_NAMES_AT = 32  # position after the fixed fields, the end of an SSL request
@@ -378,6 +382,13 @@
         return True
 
 
+def _statement_bytes(stmt):
+    """Return how many bytes a prepared statement holds."""
+    parameters = sum(map(len, (stmt.param_buffers or {}).values()))
+    text = TEXT_COPIES * sys.getsizeof(stmt.sql)
+    return memory_budget.ENTRY_BYTES + text + parameters
+
+
 class WireConnection(Connection):
     """Protocol state of one caller's connection."""
 
@@ -389,12 +400,33 @@
         self.handshake_s = handshake_s
         self.on_error = on_error
         self.statement_parts = {}
+        self._kept = memory_budget.Kept()
         self.final_error_sent = False
         self.on_command = lambda conn: None
         reader, writer = self.stream.reader, self.stream.writer
         self.metered = metering.Metered(reader, writer, self._send_limit_error)
         reader.metered = self.metered
 
+    def set_workspace(self, workspace):
+        """Charge what the connection holds from now on to a workspace."""
+        self.metered.set_workspace(workspace)
+        self._kept.workspace = workspace
+
+    def forget_statements(self):
+        """Drop all prepared statements."""
+        self.prepared_stmts.clear()
+        self.statement_parts.clear()
+        self._charge_statements()
+
+    def _charge_statements(self, more=0):
+        """Charge the prepared statements; raise DfwError without room for `more`."""
+        size = more + sum(map(_statement_bytes, self.prepared_stmts.values()))
+        is_over = size > max(MAX_PREPARED_BYTES, self._kept.size)
+        if is_over or not metering.meter.keep(self._kept, size):
+            metering.meter.note("session_state", workspace=self._kept.workspace)
+            text = "no memory for the prepared statement"
+            raise DfwError(errors.OVERLOADED, text)
+
     def _send_limit_error(self, reason):
         exc = DfwError(errors.OVERLOADED, f"closed: {reason.replace('_', ' ')}")
         self.send_final_error(exc)
@@ -568,6 +600,7 @@
         sql = data.decode("utf-8", "surrogateescape")
         parts = split_placeholders(sql)
         stmt = PreparedStatement(next(self.prepared_stmt_seq), sql, len(parts) - 1)
+        self._charge_statements(_statement_bytes(stmt))
         self.prepared_stmts[stmt.stmt_id] = stmt
         self.statement_parts[stmt.stmt_id] = parts
         for packet in self.com_stmt_prepare_response(stmt):
@@ -579,6 +612,7 @@
             _parse(packets.parse_com_stmt_close, data).stmt_id, None
         )
         await super().handle_stmt_close(data)
+        self._charge_statements()
 
     async def handle_stmt_send_long_data(self, data):
         chunk = _parse(packets.parse_com_stmt_send_long_data, data)
@@ -586,11 +620,13 @@
         size = sum(len(item) for item in buffers.values()) + len(chunk.data)
         if size > self.max_packet:
             raise DfwError(errors.TOO_LARGE, f"parameters of {size} bytes")
+        self._charge_statements(len(chunk.data))
         await super().handle_stmt_send_long_data(data)
 
     async def handle_stmt_reset(self, data):
         stmt = self.get_stmt(_parse(packets.parse_com_stmt_reset, data).stmt_id)
         stmt.param_buffers = None
+        self._charge_statements()
         await self.stream.write(self.ok())
 
     async def handle_change_user(self, data):
@@ -599,8 +635,7 @@
 
     async def handle_reset_connection(self, data):
         await self.session.reset()
-        self.prepared_stmts.clear()
-        self.statement_parts.clear()
+        self.forget_statements()
         self._set_status()
         await self.stream.write(self.ok())
 
@@ -623,7 +658,9 @@
                 count,
                 stmt.param_buffers,
             )
-        stmt.param_buffers = None
+        if stmt.param_buffers is not None:
+            stmt.param_buffers = None
+            self._charge_statements()
         parts = self.statement_parts[stmt.stmt_id]
         pieces = [parts[0]]
         for (_, value), part in zip(params, parts[1:], strict=False):
@@ -738,7 +775,7 @@
         try:
             await conn.connection_phase()
             reader.max_packet = self.max_packet
-            conn.metered.set_workspace(session.username or "")
+            conn.set_workspace(session.username or "")
             await session.init(conn)
             await conn.command_phase()
         except (ConnectionClosed, MysqlError, OSError, asyncio.IncompleteReadError):
@@ -751,6 +788,7 @@
             self.connections.discard(conn)
             self._silent.pop(conn, None)
             metering.meter.forget(conn.metered)
+            conn.forget_statements()
             await self.control.remove(conn.connection_id)
             await self._close_session(session)
             writer.close()
--- a/test/test_crowds.py
+++ b/test/test_crowds.py
@@ -104,6 +104,8 @@
             (_start_raw, _send_unfinished_handshake),
             (_start_session, _send_unfinished_query),
             (_start_session, _send_large_queries),
+            (_start_session, crowds.keep_mysql_statements),
+            (_start_session, crowds.keep_mysql_parameters),
         ],
     )
     def test_stays_under_the_limit(self, start, behave):
