Cut long values in log lines; keep no texts of writes and no long names of routes

Callers choose ids of up to 1 MiB, which log lines repeat, and 5,000 lines may be queued while the output isn't read. A transaction of dfw-entry kept the texts of its writes for their digest, and a session any name of a route. The first is tested; of the others only that the digest's users still pass.

--- a/dragonflywing/callers.py
+++ b/dragonflywing/callers.py
@@ -12,6 +12,7 @@
 from dragonflywing.wire import Column, Result, WireSession
 
 VAR_STRING = 253
+MAX_ROUTE_CHARS = 1024  # of a name that a session keeps
 SERVER_VERSION = "8.0.36-dragonflywing"
 SHOW_VARIABLES_COLUMNS = (
     Column("Variable_name", VAR_STRING),
@@ -48,7 +49,7 @@
         self.aborted = False
         self.last_used_at = now
         self.request_id = None
-        self.writes = []
+        self.writes = request_records.StatementsDigest()
 
 
 class CallerSession(WireSession):
@@ -233,13 +234,19 @@
             elif name == "@dfw_session_token":
                 self._set_token(value)
             elif name == "@dfw_route":
-                self.route = value
+                self._set_route(value)
             elif name == "@dfw_request_id":
                 self._set_request_id(request_records.check_id(value))
             elif name.startswith("@"):
                 raise DfwError(errors.STATEMENT_REFUSED, f"unknown setting {name}")
         return Result()
 
+    def _set_route(self, name):
+        if len(name) > MAX_ROUTE_CHARS:
+            text = f"dfw_route: expected at most {MAX_ROUTE_CHARS} characters"
+            raise DfwError(errors.STATEMENT_REFUSED, text)
+        self.route = name
+
     def _set_request_id(self, request_id):
         if self.transaction is not None:
             self.transaction.request_id = request_id
@@ -411,7 +418,7 @@
 
     async def _run_recorded(self, run, sql, request_id):
         """Return (result, info of COMMIT); the info is empty for a repeated request."""
-        statements_digest = request_records.digest([sql])
+        statements_digest = request_records.StatementsDigest(sql).hexdigest()
         await run("BEGIN")
         try:
             result = await run(sql)
@@ -477,7 +484,7 @@
             ) from exc
         transaction.last_used_at = self._now()
         if kind is Kind.WRITE:
-            transaction.writes.append(sql)
+            transaction.writes.add(sql)
         return result._replace(info=b"")
 
     async def _open_transaction(self, group, workspace, deadline):
@@ -595,7 +602,7 @@
 
         if request_id is not None:
             request_records.check_id(request_id)
-            statements_digest = request_records.digest(transaction.writes)
+            statements_digest = transaction.writes.hexdigest()
             try:
                 insert = request_records.insert_sql(
                     request_id, statements_digest, Result()
--- a/dragonflywing/logs.py
+++ b/dragonflywing/logs.py
@@ -14,6 +14,7 @@
 # About 1 MB of lines, queued while the reader of the output is stalled.
 MAX_QUEUED_LINES = 5000
 MAX_NAMES = 12  # in one field
+MAX_VALUE_CHARS = 1024  # callers choose ids and names of up to 1 MiB
 # Lines are written in batches, because waking the writer thread costs more than
 # writing a line.
 BATCH_INTERVAL_S = 0.1
@@ -105,6 +106,8 @@
 
 def _format_value(value):
     text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    if len(text) > MAX_VALUE_CHARS:
+        text = text[: MAX_VALUE_CHARS - 3] + "..."
     if text == "" or any(ch in text for ch in ' ="\n'):
         return json.dumps(text)
     return text
--- a/dragonflywing/request_records.py
+++ b/dragonflywing/request_records.py
@@ -34,10 +34,23 @@
     return request_id
 
 
-def digest(statements):
-    """Return the hexadecimal digest of a request's statements."""
-    text = "\0".join(statements).encode("utf-8", "surrogateescape")
-    return hashlib.sha256(text).hexdigest()
+class StatementsDigest:
+    """The digest of a request's statements, which aren't kept themselves."""
+
+    def __init__(self, *statements):
+        self._hash = hashlib.sha256()
+        self._separator = b""
+        for sql in statements:
+            self.add(sql)
+
+    def add(self, sql):
+        """Add the next statement."""
+        self._hash.update(self._separator + sql.encode("utf-8", "surrogateescape"))
+        self._separator = b"\0"
+
+    def hexdigest(self):
+        """Return the digest of all statements as a hexadecimal text."""
+        return self._hash.hexdigest()
 
 
 def insert_sql(request_id, statements_digest, result):
--- a/test/test_logs.py
+++ b/test/test_logs.py
@@ -18,6 +18,14 @@
         assert allowed and left_out == {"refused": 1000 - logs.MAX_EVENT_LINES_PER_S}
 
 
+class TestFormatEvent:
+    def test_long_values_are_cut(self):
+        # Ids of 1 MB, which callers choose, filled a queue of 5,000 lines.
+        line = logs.format_event("refused", {"request": "x" * 1_000_000, "code": "ok"})
+        assert len(line) < 1100
+        assert line.endswith("... code=ok")
+
+
 class TestBoundedStream:
     def test_full_pipe_never_blocks_and_drops_are_logged(self):
         read_fd, write_fd = os.pipe()
