Don't take a missing configuration for a confirmation

After key_withdrawal_s without a confirmation they refuse now; configuration.missing counts it.

test_a_missing_version_is_not_confirmed fails before.

--- a/dragonflywing/directory.py
+++ b/dragonflywing/directory.py
@@ -206,12 +206,13 @@
         """
         asked_at, is_settled = boottime(), self._is_settled()
         key, store = self.ports.configuration_key, self.ports.store
-        item, items = None, []
+        item, items, is_unchanged = None, [], False
         if self.cfg is None or self.confirmed_revision == ABSENT:
             item, revision = await store.get(key)
         else:
             try:
                 items, revision = await store.watch(key, self.confirmed_revision, 0.0)
+                is_unchanged = not any(x.key == key for x in items)
                 item = next((x for x in reversed(items) if x.key == key), None)
             except HistoryLost:
                 self.metrics.count("store.history_lost")
@@ -225,8 +226,13 @@
                 # The store may answer other calls though watches hear nothing.
                 self.metrics.count("store.watch_silent")
                 item, revision = await store.get(key)
-        is_current = item is None or (
-            item.value is not None and self._apply_configuration(item.value, "store")
+        is_missing = item is None and not is_unchanged
+        if is_missing and self.cfg is not None:
+            self.metrics.count("configuration.missing")
+        is_current = is_unchanged or (
+            item is not None
+            and item.value is not None
+            and self._apply_configuration(item.value, "store")
         )
         await self._complete_copies(revision, [x.revision for x in items])
         # The answer itself may have told of a later era.
--- a/test/test_directory.py
+++ b/test/test_directory.py
@@ -40,7 +40,7 @@
         if after.era != self.revision.era:
             raise HistoryLost(key)
         item, _ = await self.get(key)
-        return ([item] if item.revision > after else []), self.revision
+        return ([item] if item and item.revision > after else []), self.revision
 
 
 @pytest.fixture
@@ -125,6 +125,23 @@
 
         checked(check)
 
+    def test_a_missing_version_is_not_confirmed(self, checked):
+        # A store that came back empty confirmed keys that may have been withdrawn.
+        async def check(state, store):
+            async def get(key):
+                return None, store.revision
+
+            store.get = get
+            restore(state, store, version=1, number=4)
+            await asyncio.sleep(eras.SETTLE_S + 5)
+            assert not state.is_confirmed()
+            assert state.metrics.counters["configuration.missing"] >= 3
+            del store.get
+            await asyncio.sleep(2)
+            assert state.is_confirmed()
+
+        checked(check)
+
     def test_a_process_started_after_it_waits_too(self, checked):
         async def check(state, store):
             assert state.version() == 1
