Await instances that only their relay knows when permits are revoked

Cause: a relay passes permits on to instances that have just started, which the holder may not know yet. They are pending now until they confirm or their permits lapse.

test_waits_for_an_instance_that_only_its_relay_knows fails before.

--- a/dragonflywing/decisions/permits.py
+++ b/dragonflywing/decisions/permits.py
@@ -313,17 +313,22 @@
         }
         given = {name for name, end in self.lapses_at.items() if end > now}
         self.pending = given | data_centres.keys()
+        self.confirmed = set()
 
     def confirm(self, instance, now, passed_on):
         """Note that an instance relies on the revoked permits no longer.
 
-        `passed_on` maps others to for how many seconds they may still do so.
+        `passed_on` maps others, also such as the holder doesn't know yet, to for how
+        many seconds they may still do so.
         """
+        self.confirmed.add(instance)
         self.pending.discard(instance)
         self.passing.pop(instance, None)
         for name, left_s in passed_on.items():
             known = self.lapses_at.get(name, -math.inf)
             self.lapses_at[name] = max(known, now + left_s)
+            if name not in self.confirmed:
+                self.pending.add(name)
 
     def lapse_at(self, name):
         """Return when the permits of an instance have lapsed in any case."""
--- a/test/decisions/test_permits.py
+++ b/test/decisions/test_permits.py
@@ -232,6 +232,16 @@
         revocation.confirm("x", 10.0, {"y": 0.3})
         assert revocation.wait_s(10.0) == pytest.approx(0.3)
 
+    def test_waits_for_an_instance_that_only_its_relay_knows(self):
+        # A relay serves an instance that has just started before the holder knows it.
+        revocation = self.start(("x", 9.8), data_centre="here")
+        revocation.confirm("y", 10.0, {})
+        revocation.confirm("x", 10.0, {"new": 0.3, "y": 0.4})
+        assert revocation.pending == {"new"}
+        assert revocation.wait_s(10.0) == pytest.approx(0.3)
+        revocation.confirm("new", 10.1, {})
+        assert revocation.wait_s(10.1) == 0.0
+
     def test_waits_for_no_data_centre_that_was_given_none(self):
         revocation = self.start(("x", 9.8))
         revocation.confirm("x", 10.0, {})
