End a transaction at its home whose commit is refused; ask its own group's permits

And a commit was confirmed by the permits of the route's present group, though the transaction may have begun in another; a change of a route applies from the next transaction on.

The two tests of TestTransactions fail before.

--- a/dragonflywing/sessions.py
+++ b/dragonflywing/sessions.py
@@ -68,13 +68,17 @@
 
 
 class OpenTransaction(NamedTuple):
-    """An open transaction; `handle` is empty until its first statement has run."""
+    """An open transaction; `handle` is empty until its first statement has run.
+
+    `group` is that of its database; the route may have got another one since.
+    """
 
     is_read_only: bool
     database: str
     home: str
     handle: str
     has_written: bool = False
+    group: str = ""
 
 
 def prepared_name(definition):
@@ -251,8 +255,8 @@
         answer = await self._forward(op, "commit", op.text, {})
         if not answer.code:
             self._note_write(answer)
-        self.transaction = None
-        self.failed = False
+        # Still open at its home if the commit was refused before it was sent.
+        self.roll_back()
         return self._reply(answer.code, answer.text, answer.rows, answer.position)
 
     async def _execute(self, op):
@@ -393,14 +397,14 @@
             transaction.database, transaction.home, find_allowed()
         ):
             return self._abort_outside_regions(op)
-        group, deadline = self.route().group, self._deadline(self.route())
+        deadline = self._deadline(self.route())
         remaining_s = deadline - self.node.now()
         req = self._request(op, kind, text, prepared, transaction.database, remaining_s)
         req.transaction = transaction.handle
         answer, handle, _ = await router.run_at(transaction.home, req)
         if kind == "commit" and transaction.has_written:
             answer = await self._acknowledge(
-                op, group, transaction.database, answer, deadline
+                op, transaction.group, transaction.database, answer, deadline
             )
         if handle:
             return answer
@@ -491,7 +495,7 @@
                 )
             if self.transaction is not None:
                 self.transaction = self.transaction._replace(
-                    database=database, home=home, handle=handle
+                    database=database, home=home, handle=handle, group=route.group
                 )
             if not answer.code or not self._may_retry(kind, answer.code):
                 self._log_outcome(op, kind, req, home, answer, attempt, deadline)
--- a/test/test_sessions.py
+++ b/test/test_sessions.py
@@ -121,3 +121,55 @@
             assert (reply.code, len(confirmations)) == (code, asked)
 
         run_on_simulated_clock(check())
+
+
+class TestTransactions:
+    """Changes of the configuration while a transaction is open."""
+
+    async def _begin(self):
+        """Return a session that has written, its node, and what it asks for."""
+        node, asked = refusing_node([]), []
+        answer = Answer(outcomes.OK, "-", (), False, Position(3, 5))
+
+        async def run(req, find_allowed):
+            return answer, "handle", "home"
+
+        async def run_at(home, req):
+            return answer, "" if req.kind == "commit" else "handle", home
+
+        async def confirm(statement_id, group, *rest):
+            asked.append(("confirm", group))
+            return True
+
+        node.router.run, node.router.run_at = run, run_at
+        node.router.end_transaction = lambda *args: asked.append(args)
+        node.acknowledgements = SimpleNamespace(confirm=confirm)
+        node.ports.databases = SimpleNamespace(BEGIN="BEGIN", BEGIN_READ="")
+        node.directory.version = node.directory.confirmation_age = lambda: 1
+        session = sessions.Session(node, "r", "")
+        for kind, text in [("begin", "BEGIN"), ("write", "WRITE a 1")]:
+            await session.handle(sessions.Operation(kind, "1", text, "", ""))
+        return session, node, asked
+
+    def test_ends_at_its_home_if_the_commit_is_refused(self):
+        # It kept its connection for twice the time that it may be idle.
+        async def check():
+            session, node, asked = await self._begin()
+            node.directory.is_confirmed = lambda: False
+            commit = sessions.Operation("commit", "2", "COMMIT", "", "")
+            reply = await session.handle(commit)
+            assert (reply.code, reply.state) == (outcomes.OVERLOADED, sessions.IDLE)
+            assert asked == [("db", "home", "handle")]
+
+        run_on_simulated_clock(check())
+
+    def test_commit_is_confirmed_by_the_group_that_it_began_in(self):
+        # The permits of the route's present group were asked for.
+        async def check():
+            session, node, asked = await self._begin()
+            node.directory.cfg.routes["r"].group = "other"
+            commit = sessions.Operation("commit", "2", "COMMIT", "", "")
+            reply = await session.handle(commit)
+            assert (reply.code, asked) == (outcomes.OK, [("confirm", "g")])
+
+        run_on_simulated_clock(check())
