Keep instances from spending one burst several times

And as demand rose, each measured its own at once and heard of the others' later, so that all took themselves for the only one, with four fifths of burst and rate each.

Own demand raises the share one period later, 0.5 s after it began; what all save exceeds a burst by at most the rate of 2 s, and falls with the fleet's bucket.

--- a/dragonflywing/decisions/division.py
+++ b/dragonflywing/decisions/division.py
@@ -4,7 +4,8 @@
 times its rate. Each instance reports to the others the demand it observes and
 the number of operations it has admitted. Its share of the rate is its share of
 the total demand, except for a fraction that is divided evenly, so that the first
-request of a workspace needs no message.
+request of a workspace needs no message. Its own demand counts once the others have
+heard of it: otherwise the shares of instances whose demand rises exceed the whole.
 
 From the reported numbers of admitted operations, each instance also tracks a
 token bucket of the workspace for the whole fleet. While that bucket is at least
@@ -36,17 +37,26 @@
 MySQL databases, divides rates by `shares`.
 """
 
+import collections
 import math
 from collections import Counter
 
 EVEN_FRACTION = 0.2  # of the rate and burst, divided evenly over all instances
 DEMAND_PERIOD_S = 0.25  # period over which arrivals are counted
 DEMAND_WEIGHT = 0.1  # of the latest period, for an average over about 2 s
+# A higher demand raises the own share once it has been measured for so many periods, in
+# which others report theirs. Otherwise each instance takes itself for the only one when
+# the demand for an idle workspace rises at all.
+SHARED_PERIODS = 2
 IDLE_DEMAND_PER_S = 0.01  # lower demand counts as none
 MIN_DEMAND_PER_S = 0.1  # operations per second; lower demand is not reported
-# Even shares of the burst that an instance may accumulate if its share by demand is
-# smaller.
-SAVED_EVEN_SHARES = 2.0
+# Even shares of the burst that an instance may save if its share by demand is smaller.
+# All may spend what they have saved before they learn of each other, so together it
+# exceeds one burst by no more than the rate gives in a few seconds. It falls with the
+# fleet's bucket below the given fraction of the burst.
+MAX_SAVED_EVEN_SHARES = 3.0
+SAVED_RATE_S = 2.0
+SAVING_LEVEL = 0.75
 # The refill rate is multiplied by this factor while the fleet-wide bucket is
 # filled at least to the given fraction of the burst.
 FAST_REFILL_FACTOR = 3.0
@@ -78,7 +88,7 @@
     `fleet_tokens` is estimated from the operations that all instances have
     admitted, and is negative while the workspace is overdrawn. `known_share` is this
     instance's share when enough units had last reported, 0 if they never did.
-    `is_strict` is set for the bucket of a cold database.
+    `latest_demands` holds the demand of the latest periods. `is_strict` is set for the bucket of a cold database.
     """
 
     def __init__(self, now, is_strict=False):
@@ -92,6 +102,7 @@
         self.arrivals = 0
         self.admitted = 0
         self.demand = 0.0
+        self.latest_demands = collections.deque([0.0], maxlen=SHARED_PERIODS)
         self.known_share = 0.0 if is_strict else 1.0
         self.is_new = True
 
@@ -247,10 +258,11 @@
     if not state.reports_complete:
         # Until the demand of the others is known, only the even fraction is safe.
         return EVEN_FRACTION / count
-    total = bucket.demand + _others_demand(state, workspace)
+    demand = bucket.demand if bucket.is_strict else min(bucket.latest_demands)
+    total = demand + _others_demand(state, workspace)
     if bucket.is_strict:
         total = max(total, bucket.rate)
-    by_demand = bucket.demand / total if total > 0 else 1.0 / count
+    by_demand = demand / total if total > 0 else 1.0 / count
     demand_fraction = 1.0 if bucket.is_strict else 1 - EVEN_FRACTION
     fraction = EVEN_FRACTION / count + demand_fraction * by_demand
     if state.has_reports if bucket.is_strict else state.is_informed:
@@ -274,11 +286,23 @@
     return refill_rate * FAST_REFILL_FACTOR if is_fast else refill_rate
 
 
+def _saved_share(state, bucket):
+    """Return the fraction of the burst that an instance without demand may hold.
+
+    What the others have spent of it lowers the fraction.
+    """
+    if not bucket.burst:
+        return 0.0
+    saved = min(MAX_SAVED_EVEN_SHARES, 1 + SAVED_RATE_S * bucket.rate / bucket.burst)
+    level = bucket.fleet_tokens / (SAVING_LEVEL * bucket.burst)
+    return saved * max(0.0, min(1.0, level)) / state.instance_count
+
+
 def _refill(state, now, workspace):
     bucket = state.buckets[workspace]
     elapsed = max(0.0, now - bucket.filled_at)
     bucket.filled_at = now
-    max_share = max(share(state, workspace), SAVED_EVEN_SHARES / state.instance_count)
+    max_share = max(share(state, workspace), _saved_share(state, bucket))
     # A bucket that holds less than one token would never admit an operation.
     cap = max(1.0, bucket.burst * min(max_share, 1.0))
     if bucket.is_strict:
@@ -395,6 +419,7 @@
         if not bucket.arrivals and bucket.demand < IDLE_DEMAND_PER_S:
             # The next operation refills the bucket for all of the idle time.
             bucket.demand = 0.0
+            bucket.latest_demands.append(0.0)
             continue
         _refill(state, now, name)
         if (reported if bucket.is_strict else recent) == len(state.unit_demand):
@@ -407,6 +432,7 @@
             arrivals_per_s = min(arrivals_per_s, bucket.rate)
         bucket.arrivals = 0
         bucket.demand += DEMAND_WEIGHT * (arrivals_per_s - bucket.demand)
+        bucket.latest_demands.append(bucket.demand)
 
 
 def report(state):
--- a/test/decisions/test_division.py
+++ b/test/decisions/test_division.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -15,9 +16,10 @@
 class Fleet:
     """Instances that exchange reports at an interval of `delay_s`."""
 
-    def __init__(self, count, delay_s=0.5):
+    def __init__(self, count, delay_s=0.5, burst=BURST):
         self.now = 0.0
         self.delay_s = delay_s
+        self.burst = burst
         self.exchanged_at = 0.0
         self.states = {}
         self.cut_off = set()  # instances that exchange no reports with the others
@@ -29,7 +31,7 @@
         """Start an instance, which knows the recorded names of drawn workspaces."""
         state = division.DivisionState()
         division.note_drawn(state, drawn)
-        division.configure(state, self.now, {"w": (RATE, BURST)})
+        division.configure(state, self.now, {"w": (RATE, self.burst)})
         self.states[name] = state
         for known, other in self.states.items():
             division.set_units(other, [n for n in self.states if n != known])
@@ -82,9 +84,9 @@
 class RelayedFleet(Fleet):
     """A fleet in data centres of `size` instances; the first of each is its relay."""
 
-    def __init__(self, count, size, delay_s=0.5):
+    def __init__(self, count, size, delay_s=0.5, burst=BURST):
         self.size = size
-        super().__init__(count, delay_s)
+        super().__init__(count, delay_s, burst)
 
     def data_centres(self):
         """Return the instances of each data centre, starting with its relay."""
@@ -94,7 +96,7 @@
     def add(self, name):
         """Start an instance."""
         state = division.DivisionState()
-        division.configure(state, self.now, {"w": (RATE, BURST)})
+        division.configure(state, self.now, {"w": (RATE, self.burst)})
         self.states[name] = state
         for data_centre in self.data_centres():
             relay, *members = data_centre
@@ -154,6 +156,15 @@
     return admitted / offered
 
 
+def rush(fleet, names, seconds):
+    """Send more operations to each of `names` than any workspace may."""
+    for _ in range(int(seconds / 0.05)):
+        fleet.step(0.05)
+        for name in names:
+            while fleet.offer(name):
+                pass
+
+
 class TestLoad:
     """A workspace within its rate is served; one far above it gets only its rate."""
 
@@ -235,6 +246,26 @@
         names = ["i0"] * 4 + ["i1"] * 3 + ["i2", "i3"]
         assert simulate_load(fleet, names, RATE / 1.6, 20, rng) > 0.98
 
+    @pytest.mark.parametrize("bursts", [1, 4, 6, 10, 30])
+    @pytest.mark.parametrize("hot", [0, 1, 4, 9])
+    @pytest.mark.parametrize(("count", "sizes"), [(4, ()), (9, ()), (20, (5,))])
+    def test_idle_instances_save_no_second_burst(self, count, sizes, hot, bursts):
+        # Each spent two even shares, whatever the others had spent, and took itself for
+        # the only one with demand until it heard of theirs.
+        for phase in range(3):
+            make = RelayedFleet if sizes else Fleet
+            fleet = make(count, *sizes, burst=bursts * RATE)
+            rng = random.Random(phase)
+            simulate_load(fleet, list(fleet.states), RATE / 1.6, 5, rng)
+            for _ in range(200):
+                fleet.step(0.5)
+            fleet.step(0.1 * phase)
+            names = list(fleet.states)
+            rush(fleet, names[:hot], 2.0)
+            rush(fleet, names, 2.0)
+            allowed = (RATE * WINDOW_S + fleet.burst) * 1.1 + 20
+            assert fleet.max_in_window() <= allowed
+
     def test_instances_without_reports_use_only_the_even_fraction(self):
         fleet = Fleet(9, delay_s=1e9)
         rng = random.Random(5)
