--- a/dragonflywing/decisions/division.py
+++ b/dragonflywing/decisions/division.py
@@ -88,7 +88,8 @@
     `fleet_tokens` is estimated from the operations that all instances have
     admitted, and is negative while the workspace is overdrawn. `known_share` is this
     instance's share when enough units had last reported, 0 if they never did.
-    `latest_demands` holds the demand of the latest periods. `is_strict` is set for the bucket of a cold database.
+    `latest_demands` holds the demand of the latest periods. `is_strict` is set for the
+    bucket of a cold database.
     """
 
     def __init__(self, now, is_strict=False):
