--- a/dragonflywing/session_state.py
+++ b/dragonflywing/session_state.py
@@ -44,9 +44,9 @@
     return memory_budget.ENTRY_BYTES + sys.getsizeof(name) + sys.getsizeof(text)
 
 
-def _refuse(text, workspace):
+def _refuse(reason, workspace):
     metering.meter.note("session_state", workspace=workspace)
-    raise Refusal(outcomes.OVERLOADED, text)
+    raise Refusal(outcomes.OVERLOADED, reason)
 
 
 class SessionState:
@@ -73,8 +73,7 @@
 
     def set_value(self, name, value):
         """Set a value; raise Refusal if there is no room for it."""
-        size = self._put(self.values, MAX_VALUES, name, value)
-        self._values_bytes += size
+        self._values_bytes += self._put(self.values, MAX_VALUES, name, value)
 
     def prepare(self, name, definition):
         """Keep the definition of a prepared statement; raise Refusal without room."""
@@ -89,8 +88,8 @@
     def _put(self, entries, max_entries, name, text):
         """Set an entry; return by how many bytes the session has grown."""
         if name not in entries and len(entries) >= max_entries:
-            text = f"the session has {max_entries} names already, not run"
-            _refuse(text, self._kept.workspace)
+            reason = f"the session has {max_entries} names already, not run"
+            _refuse(reason, self._kept.workspace)
         change = _entry_bytes(name, text)
         if name in entries:
             change -= _entry_bytes(name, entries[name])
@@ -100,11 +99,11 @@
 
     def _resize(self, size):
         if size > max(MAX_BYTES, self._kept.size):
-            text = f"a session keeps at most {MAX_BYTES} bytes, not run"
-            _refuse(text, self._kept.workspace)
+            reason = f"a session keeps at most {MAX_BYTES} bytes, not run"
+            _refuse(reason, self._kept.workspace)
         if not metering.meter.keep(self._kept, size):
-            text = "no memory for the session's state, not run, retry in 300 ms"
-            _refuse(text, self._kept.workspace)
+            reason = "no memory for the session's state, not run, retry in 300 ms"
+            _refuse(reason, self._kept.workspace)
 
     def is_large(self):
         """Return whether forwarding the values needs a reservation."""
@@ -123,8 +122,8 @@
                 size = self._values_bytes * FORWARDED_COPIES
                 await meter.reserve(claim, size, MEMORY_WAIT_S)
             except metering.NoMemory:
-                text = "no memory for the session's values, not run, retry in 300 ms"
-                raise Refusal(outcomes.OVERLOADED, text) from None
+                reason = "no memory for the session's values, not run, retry in 300 ms"
+                raise Refusal(outcomes.OVERLOADED, reason) from None
             yield
         finally:
             meter.release(claim, claim.held)
@@ -186,9 +185,9 @@
 
     def _charge(self):
         # Bounded by the number of names, so that it needs no room.
-        names = sum(_entry_bytes(*item) for item in self.values.items())
+        values = sum(_entry_bytes(*item) for item in self.values.items())
         prepared = sum(_entry_bytes(name, "") for name in self.prepared)
-        metering.meter.keep(self._kept, names + prepared, is_forced=True)
+        metering.meter.keep(self._kept, values + prepared, is_forced=True)
 
     def clear(self):
         """Note that nothing is set on the connection, or that it was closed."""
