Let an answer that is too large end only its own call

The home answers with FAILED now, and no call or answer above the limit is sent.

Both tests fail before.

--- a/dragonflywing/decisions/division.py
+++ b/dragonflywing/decisions/division.py
@@ -37,9 +37,8 @@
 MySQL databases, divides rates by `shares`.
 """
 
-import collections
 import math
-from collections import Counter
+from collections import Counter, deque
 
 EVEN_FRACTION = 0.2  # of the rate and burst, divided evenly over all instances
 DEMAND_PERIOD_S = 0.25  # period over which arrivals are counted
@@ -103,7 +102,7 @@
         self.arrivals = 0
         self.admitted = 0
         self.demand = 0.0
-        self.latest_demands = collections.deque([0.0], maxlen=SHARED_PERIODS)
+        self.latest_demands = deque([0.0], maxlen=SHARED_PERIODS)
         self.known_share = 0.0 if is_strict else 1.0
         self.is_new = True
 
--- a/dragonflywing/links.py
+++ b/dragonflywing/links.py
@@ -43,6 +43,10 @@
         self.sent = sent
 
 
+class FrameTooLarge(Exception):
+    """A call or an answer exceeds what the other end accepts."""
+
+
 def pack(message):
     """Return a Thrift struct as bytes."""
     return serialize(message, _FACTORY)
@@ -54,6 +58,8 @@
 
 
 def _frame(number, kind, body):
+    if len(body) > MAX_FRAME_BYTES:
+        raise FrameTooLarge(f"{len(body)} bytes")
     return HEADER.pack(len(body), number, kind) + body
 
 
@@ -199,7 +205,11 @@
                 await self._ensure_open()
                 number = next(self._call_numbers)
                 envelope = pack(idl.Envelope(name=name, body=body))
-                self._write(_frame(number, CALL, envelope))
+                try:
+                    frame = _frame(number, CALL, envelope)
+                except FrameTooLarge as exc:
+                    raise LinkLost(f"{self.host}: {exc}") from None
+                self._write(frame)
                 sent_at = self._now()
                 fut = asyncio.get_running_loop().create_future()
                 self._pending[number] = fut
--- a/dragonflywing/router.py
+++ b/dragonflywing/router.py
@@ -4,11 +4,11 @@
 import json
 import random
 
-from dragonflywing import decoding, logs, outcomes
+from dragonflywing import decoding, logs, metering, outcomes
 from dragonflywing.decisions import contention, placing, retries, stopping
 from dragonflywing.decisions.positions import Position
 from dragonflywing.decoding import MalformedDocument
-from dragonflywing.links import LinkLost, idl, pack, unpack
+from dragonflywing.links import MAX_FRAME_BYTES, LinkLost, idl, pack, unpack
 from dragonflywing.ports import Answer, DatabaseStatus
 from dragonflywing.supervisor import spawn
 
@@ -567,7 +567,20 @@
 
 
 def pack_answer(answer, handle, wait_s, pacer=None):
-    """Return an Answer, its transaction's handle and the pace as bytes."""
+    """Return an Answer, its transaction's handle and the pace as bytes.
+
+    An answer that fits into no frame becomes an error, which says that it ran.
+    """
+    body = _pack_answer(answer, handle, wait_s, pacer)
+    if len(body) <= MAX_FRAME_BYTES:
+        return body
+    metering.meter.note("frame_too_large", bytes=len(body))
+    text = f"the answer has {len(body)} bytes, at most {MAX_FRAME_BYTES} are forwarded"
+    answer = answer._replace(code=outcomes.FAILED, text=text, rows=())
+    return _pack_answer(answer, handle, wait_s, pacer)
+
+
+def _pack_answer(answer, handle, wait_s, pacer):
     position = answer.position or Position(0, 0)
     return pack(
         idl.RunAnswer(
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -12,7 +12,7 @@
 from dragonflywing.cluster import MEMBER_PREFIX, Cluster
 from dragonflywing.exchange import Exchange
 from dragonflywing.groups import Groups
-from dragonflywing.links import Link, LinkLost, LinkServer, idl
+from dragonflywing.links import MAX_FRAME_BYTES, Link, LinkLost, LinkServer, idl
 from dragonflywing.metrics import Metrics
 from test.helper import Network, run
 
@@ -41,6 +41,29 @@
         link.close()
         server.close()
 
+    def test_too_large_frame_ends_no_other_call(self):
+        # The connection was closed, so that others' writes had an unknown outcome.
+        run(self._call_too_large())
+
+    async def _call_too_large(self):
+        large = b"x" * (MAX_FRAME_BYTES + 1)
+
+        async def handle(name, body, origin):
+            await asyncio.sleep(0.2 if name == "write" else 0)
+            return large if name == "read" else b"done"
+
+        server, link = await self._serve(handle)
+        write = asyncio.create_task(link.call("write", b"", 1.0))
+        await asyncio.sleep(0.05)
+        with pytest.raises(LinkLost, match="FrameTooLarge"):
+            await link.call("read", b"", 1.0)
+        with pytest.raises(LinkLost) as exc_info:
+            await link.call("other", large, 1.0)
+        assert not exc_info.value.sent
+        assert await write == b"done"
+        link.close()
+        server.close()
+
     def test_timed_out_call_is_cancelled_at_the_server(self):
         run(self._time_out())
 
--- a/test/test_router.py
+++ b/test/test_router.py
@@ -10,8 +10,11 @@
 from hypothesis import strategies as st
 
 from dragonflywing import logs, outcomes
+from dragonflywing.decisions.positions import Position
 from dragonflywing.deployment import Workspace
+from dragonflywing.links import idl, unpack
 from dragonflywing.ports import Answer
+from dragonflywing.router import pack_answer
 from dragonflywing.sessions import FAILED, IDLE, Operation
 from test.helper import run_on_simulated_clock
 from test.played_load import Fleet, PlayedDatabase, play, route, share_served, simulated
@@ -217,6 +220,18 @@
         assert await node.router.wait_primary("g", 0.2) == "db2"
 
 
+class TestAnswers:
+    @simulated
+    async def test_too_large_one_becomes_an_error(self):
+        rows = ("x" * 1_000_000,) * 9
+        answer = Answer(outcomes.OK, "signature", rows, True, Position(3, 5))
+        packed = unpack(idl.RunAnswer, pack_answer(answer, "handle", 0.0))
+        assert (packed.code, packed.rows) == (outcomes.FAILED, [])
+        assert (packed.transaction, packed.index) == ("handle", 5)
+        packed = unpack(idl.RunAnswer, pack_answer(answer._replace(rows=()), "", 0.0))
+        assert packed.code == outcomes.OK
+
+
 class TestObjective:
     @simulated
     async def test_time_left_counts_from_the_first_statement(self):
