--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,18 +22,18 @@
 COMMAND = ["python3", "-m", "dragonflywing.ui.platform_entry"]
 LINE_LIMIT = 1 << 21
 WATCH_POLL_S = 0.02
+HEARTBEAT_S = 1.2
 
 
 def free_ports(count):
-    """Return ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind((HOST, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Return ports that are free now, below those of outgoing connections."""
+    found = []
+    while len(found) < count:
+        port = random.randrange(10_000, 32_000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            found.append(port)
+    return found
 
 
 class Record:
@@ -62,6 +63,7 @@
         self.leases = {}
         self.next_lease = 100
         self.promote = lambda service, name: 409
+        self.on_tick = lambda: None
         self.duty_is_down = False
         self.duty_port = None
         self.port = None
@@ -117,6 +119,7 @@
     async def _expire(self):
         while True:
             await asyncio.sleep(0.05)
+            self.on_tick()
             now = time.monotonic()
             for lease in [x for x, (_, end) in self.leases.items() if end <= now]:
                 self._end_lease(lease)
@@ -227,8 +230,17 @@
         self.max_conns = max_conns
         self.lag_s = lag_s
         self.databases = {}
-        self.work_s = 0.004
+        self.work_s = 0.004  # of a read, write or commit, in a slot
+        self.on_arrival = lambda database, statement: None
+        self.on_promoted = lambda database: None
         platform.promote = self.promote
+        platform.on_tick = self.expire
+
+    def expire(self):
+        """Remove the entries of databases after three silent intervals."""
+        for database in self.databases.values():
+            if time.monotonic() - database.heard_at > 3 * HEARTBEAT_S:
+                self.platform.delete(f"servers/{database.name}")
 
     def primary(self):
         """Return the primary of the latest term, or None."""
@@ -257,9 +269,10 @@
         database.term = max(x.term for x in self.databases.values()) + 1
         database.role, database.held = "primary", 0
         self.record(f"leads database={database.name} term={database.term}")
+        self.on_promoted(database)
         database.register()
         for other in self.databases.values():
-            if other is not database and other.is_up:
+            if other is not database and other.is_up and not other.is_deaf:
                 other.follow(database)
 
     def copy(self, primary):
@@ -268,7 +281,7 @@
         for other in self.databases.values():
             if other is primary or not other.is_up or other.role == "primary":
                 continue
-            if other.held or other.term > primary.term:
+            if other.held or other.is_deaf or other.term > primary.term:
                 continue
             other.term, other.log = primary.term, list(primary.log)
             asyncio.get_running_loop().call_later(
@@ -292,28 +305,34 @@
         self.applied = 1
         self.is_up = True
         self.is_draining = False
+        self.is_deaf = False  # it receives nothing from the primary
+        self.reaches_store = True
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.connections = set()
         self.slots = asyncio.Semaphore(group.slots)
         self.port = None
+        self.heard_at = 0.0  # when it last wrote its entry
         self._server = None
         self._beat = None
 
     async def start(self):
-        """Serve connections and heartbeats."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        """Serve connections and heartbeats, at the same address each time."""
+        self._server = await asyncio.start_server(self._serve, HOST, self.port or 0)
         self.port = self._server.sockets[0].getsockname()[1]
         self._beat = asyncio.create_task(self._keep_registered())
 
     async def _keep_registered(self):
         while True:
             self.register()
-            await asyncio.sleep(1.2)
+            await asyncio.sleep(HEARTBEAT_S)
 
     def register(self):
-        """Write the database's entry to the store; return the revision."""
+        """Write the database's entry to the store."""
+        if not self.reaches_store:
+            return
         self.sequence += 1
+        self.heard_at = time.monotonic()
         entry = {
             "service": self.group.name,
             "address": f"{HOST}:{self.port}",
@@ -326,16 +345,35 @@
             "born": self.born,
             "db_role": self.role,
         }
-        return self.group.platform.put(f"servers/{self.name}", entry)
+        self.group.platform.put(f"servers/{self.name}", entry)
 
-    def end(self):
-        """End for good: close all connections and leave the list."""
+    def crash(self):
+        """End the process: its connections are reset. The log is kept."""
         self.is_up = False
         self._beat.cancel()
         self._server.close()
         for writer in list(self.connections):
             writer.transport.abort()
-        self.group.platform.delete(f"servers/{self.name}")
+        self.group.record(f"crashed database={self.name}")
+
+    async def restart(self, keeps_log):
+        """Start the process again under its id, with its log or without."""
+        self.born = int(time.time() * 1000)
+        self.sequence, self.held = 0, 0
+        if not keeps_log:
+            self.role, self.term, self.log, self.applied = "replica", 0, [], 0
+        primary = self.group.primary()
+        if primary is not None and primary.term > self.term:
+            self.role, self.term = "replica", primary.term
+            if not self.is_deaf:
+                self.log = list(primary.log)
+                self.applied = len(self.log)
+        self.is_up = True
+        await self.start()
+        self.group.record(
+            f"started again database={self.name}"
+            f" received={self.position(len(self.log))}"
+        )
 
     def follow(self, primary):
         """Become a replica of a primary; what it lacks is dropped."""
@@ -414,6 +452,7 @@
     async def query(self, number, text):
         """Run a statement and answer it."""
         if number != "-":
+            self.database.group.on_arrival(self.database, number)
             self.database.group.record(
                 f"arrives database={self.database.name} id={number} {text[:60]}"
             )
