--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -586,6 +586,7 @@
         self.zones = zones
         self.processes = {}
         self.ports = {}
+        self.zone_of = {}
         self.limits = {"memory_mb": 300, "max_fds": 4200}
         self.bounds = {
             "contact_ms": 5000,
@@ -598,10 +599,9 @@
             "quota_window_s": 5,
         }
 
-    def start(self, name, zone):
-        """Start an instance; return its process's number."""
-        if name not in self.ports:
-            self.ports[name] = free_ports(4)
+    def write_settings(self, name, zone=None, seeds=()):
+        """Write an instance's settings file; return its path."""
+        self.zone_of[name] = zone = zone or self.zone_of[name]
         front, ready, *peers = self.ports[name]
         settings = {
             "node": name,
@@ -617,7 +617,7 @@
                 "ready_addr": f"{HOST}:{ready}",
             },
             "port_range": peers,
-            "seeds": [],
+            "seeds": list(seeds),
             "bootstrap": True,
             "limits": self.limits,
             "data_dir": None,
@@ -642,6 +642,13 @@
         path = os.path.join(self.folder, f"{name}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
+        return path
+
+    def start(self, name, zone):
+        """Start an instance."""
+        if name not in self.ports:
+            self.ports[name] = free_ports(4)
+        path = self.write_settings(name, zone)
         env = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "LANG")}
         env["DRAGONFLYWING_CONFIG"] = path
         env["PYTHONPATH"] = os.path.join(ROOT, "target", "deps")
@@ -650,7 +657,6 @@
                 COMMAND, cwd=ROOT, env=env, stdout=log, stderr=log
             )
         self.record(f"started instance={name}")
-        return self.processes[name].pid
 
     async def is_ready(self, name):
         """Return whether the ready probe of an instance returns 200."""
