--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -388,7 +389,7 @@
 
     def position(self, count):
         """Return a position of the log as text."""
-        return f"{self.log[count - 1][0]}.{count}" if count else "0.0"
+        return f"{self.log[count - 1][0]}.{count}" if count else "-"
 
     def visible(self):
         """Return how many entries reads see."""
@@ -826,3 +827,12 @@
 def is_troubled():
     """Return whether the script runs with its disruption."""
     return os.environ.get("TROUBLE", "1") != "0"
+
+
+def run_case(main):
+    """Run a case; return 1 if its rule was broken, 0 if not, 2 if it couldn't run."""
+    try:
+        return asyncio.run(main())
+    except (Exception, KeyboardInterrupt) as exc:
+        print(f"the case could not run: {exc!r}", file=sys.stderr)
+        return 2
