--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -126,7 +126,8 @@
                 self._end_lease(lease)
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(OSError, EOFError, ValueError):
+        ended = (OSError, EOFError, ValueError, asyncio.CancelledError)
+        with contextlib.suppress(*ended):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
                 method, target, _ = head[0].split(" ")
@@ -422,7 +423,7 @@
                 if line == "TERMINATE":
                     return
                 await session.query(*line.split(" ", 2)[1:])
-        except (OSError, EOFError, asyncio.IncompleteReadError):
+        except (OSError, EOFError, asyncio.CancelledError):
             pass
         finally:
             self.connections.discard(writer)
