--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -320,7 +320,9 @@
 
     async def start(self):
         """Serve connections and heartbeats, at the same address each time."""
-        self._server = await asyncio.start_server(self._serve, HOST, self.port or 0)
+        self._server = await asyncio.start_server(
+            self._serve, HOST, self.port or 0, limit=LINE_LIMIT
+        )
         self.port = self._server.sockets[0].getsockname()[1]
         self._beat = asyncio.create_task(self._keep_registered())
 
