--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -840,10 +840,21 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+async def _run_main(main):
+    """Run a case's main(), which ends early if the script is to end."""
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    return await main()
+
+
 def run_case(main):
-    """Run a case; return 1 if its rule was broken, 0 if not, 2 if it couldn't run."""
+    """Run a case; return 1 if its rule was broken, 0 if not, 2 if it couldn't run.
+
+    The processes end with it, also if it is interrupted or terminated.
+    """
     try:
-        return asyncio.run(main())
-    except (Exception, KeyboardInterrupt) as exc:
+        return asyncio.run(_run_main(main))
+    except (Exception, asyncio.CancelledError) as exc:
         print(f"the case could not run: {exc!r}", file=sys.stderr)
         return 2
